--- a/src/app/tests/fleet.cpp
+++ b/src/app/tests/fleet.cpp
@@ -10,7 +10,6 @@
 #include <fstream>
 #include <future>
 #include <iterator>
-#include <random>
 #include <thread>
 
 #include "config/config.h"
@@ -27,19 +26,57 @@
 constexpr unsigned kFirstPort = 15'000;
 constexpr unsigned kEndPort = 32'000;
 
-bool IsFree(unsigned port) {
-  const int probe = socket(AF_INET, SOCK_STREAM, 0);
+constexpr unsigned kBlockPorts = 500;
+
+/// A listening socket on the port, or -1 if the port is taken.
+int Listen(unsigned port) {
+  const int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const int reuse = 1;
-  setsockopt(probe, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
+  setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_port = htons(static_cast<std::uint16_t>(port));
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  const bool free = bind(probe, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
-  close(probe);
-  return free;
+  if (bind(listener, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0 &&
+      listen(listener, 1) == 0) {
+    return listener;
+  }
+  close(listener);
+  return -1;
 }
 
+/// A block of ports that only this test process takes from, so that several test processes can run
+/// side by side. The process claims it by listening on the first port of the block while it lives.
+class PortBlock {
+ public:
+  PortBlock() {
+    for (m_first = kFirstPort; m_first + kBlockPorts <= kEndPort; m_first += kBlockPorts) {
+      m_claim = Listen(m_first);
+      if (m_claim >= 0) return;
+    }
+    throw std::runtime_error("no free block of ports");
+  }
+  ~PortBlock() { close(m_claim); }
+  PortBlock(const PortBlock&) = delete;
+  PortBlock& operator=(const PortBlock&) = delete;
+
+  unsigned TakePort() {
+    for (unsigned tried = 1; tried < kBlockPorts; ++tried) {
+      m_taken = m_taken % (kBlockPorts - 1) + 1;
+      const int probe = Listen(m_first + m_taken);
+      if (probe < 0) continue;
+      close(probe);
+      return m_first + m_taken;
+    }
+    throw std::runtime_error("no free port");
+  }
+
+ private:
+  int m_claim = -1;
+  unsigned m_first = 0;
+  unsigned m_taken = 0;
+};
+
 std::string ReadAll(const std::filesystem::path& path) {
   std::ifstream file(path, std::ios::binary);
   return {std::istreambuf_iterator<char>(file), {}};
@@ -93,12 +130,8 @@
 }
 
 std::string Fleet::TakeAddress() {
-  static unsigned next = kFirstPort + std::random_device()() % (kEndPort - kFirstPort);
-  for (unsigned tried = 0; tried < kEndPort - kFirstPort; ++tried) {
-    if (++next >= kEndPort) next = kFirstPort;
-    if (IsFree(next)) return "127.0.0.1:" + std::to_string(next);
-  }
-  throw std::runtime_error("no free port");
+  static PortBlock ports;
+  return "127.0.0.1:" + std::to_string(ports.TakePort());
 }
 
 std::string Fleet::WriteSettings(const std::string& name, const json::object& settings) const {
