Log and count unreadable requests on the users' platform

Cause: half-sent and oversized requests were answered 408 and 413 inside the HTTP server, which counted them, but direct dispatch neither logged the reason nor showed the counters; a request cut off by its client was not counted at all. The server tells its handler of each refusal. The tests were extended with the change and not seen failing on the former code, which has neither the counters nor the lines.

--- a/src/app/internal/dispatch_entry_app.cpp
+++ b/src/app/internal/dispatch_entry_app.cpp
@@ -245,7 +245,7 @@
 
 std::string DispatchEntryApp::Metrics() const {
   MetricsPage page;
-  AddCommonMetrics(page);
+  AddCommonMetrics(page, *m_callers);
   const EntryDispatcherCounters& counters = m_dispatcher.counters();
   page.AddCounter("jobs_submitted_total", "Jobs submitted", counters.submitted);
   page.AddCounter("jobs_joined_total", "Requests for a job in progress", counters.joined);
--- a/src/app/internal/dispatch_entry_app.h
+++ b/src/app/internal/dispatch_entry_app.h
@@ -29,6 +29,9 @@
 
   void OnRequest(HttpRequest request, HttpResponder responder) override;
   void OnClientGone(HttpRequestId request) override;
+  void OnRequestRefused(const Error& reason, const std::string& remote_address) override {
+    OnHttpRefused(reason, remote_address);
+  }
 
   void OnWorkerReport(NodeRef from, const WorkerReport& report, Now now);
   void OnStateRead(const StateRead& read);
--- a/src/app/internal/dispatch_process.cpp
+++ b/src/app/internal/dispatch_process.cpp
@@ -238,8 +238,17 @@
   OnDocuments(now);
 }
 
-void DispatchProcess::AddCommonMetrics(MetricsPage& page) const {
+void DispatchProcess::OnHttpRefused(const Error& reason, const std::string& remote_address) {
+  m_http_refusals.Add(reason.kind);
+  m_log->Record(DecisionClass::kAnomaly, "request_unreadable", {},
+                {{"remote", remote_address},
+                 {"reason", ErrorAnswerOf(reason.kind).name},
+                 {"detail", reason.detail}});
+}
+
+void DispatchProcess::AddCommonMetrics(MetricsPage& page, const HttpServer& server) const {
   page.AddNetwork(m_network->counters(), 0);
+  page.AddHttp(server.counters(), m_http_refusals);
   page.AddGauge("document_version", "Newest version of the operators' documents",
                 static_cast<double>(m_documents.newest()));
   page.AddGauge("known_entries", "Entries known", static_cast<double>(m_entries.size()));
--- a/src/app/internal/dispatch_process.h
+++ b/src/app/internal/dispatch_process.h
@@ -14,6 +14,7 @@
 
 #include "app/exit_status.h"
 #include "app/internal/metrics_page.h"
+#include "app/internal/refusal_counters.h"
 #include "dispatch/dispatch.h"
 #include "http/http.h"
 #include "observe/observe.h"
@@ -93,7 +94,10 @@
   const NodeRef& self() const { return m_self; }
   AgreedDocuments& documents() { return m_documents; }
   std::map<NodeId, KnownEntry>& entries() { return m_entries; }
-  void AddCommonMetrics(MetricsPage& page) const;
+  /// Logs and counts a request that never reached a handler.
+  void OnHttpRefused(const Error& reason, const std::string& remote_address);
+  /// The server is the one that serves callers or the endpoint.
+  void AddCommonMetrics(MetricsPage& page, const HttpServer& server) const;
 
  private:
   void OnEnvelope(Envelope envelope) override;
@@ -111,6 +115,7 @@
   boost::asio::steady_timer m_tick;
   NodeRef m_self;
   std::unique_ptr<EventLog> m_log;
+  RefusalCounters m_http_refusals;
   std::unique_ptr<Network> m_network;
   AgreedDocuments m_documents;
   std::map<NodeId, KnownEntry> m_entries;
--- a/src/app/internal/dispatch_sidecar_app.h
+++ b/src/app/internal/dispatch_sidecar_app.h
@@ -27,6 +27,9 @@
 
   void OnRequest(HttpRequest request, HttpResponder responder) override;
   void OnClientGone(HttpRequestId request) override;
+  void OnRequestRefused(const Error& reason, const std::string& remote_address) override {
+    OnHttpRefused(reason, remote_address);
+  }
 
   void Perform(ExecutorOutputs& out);
   void SendReports(Now now);
--- a/src/app/internal/metrics_page.cpp
+++ b/src/app/internal/metrics_page.cpp
@@ -40,8 +40,8 @@
 
 void MetricsPage::AddHttp(const HttpServerCounters& http, const RefusalCounters& refusals) {
   AddCounter("http_requests_total", "HTTP requests received", http.requests);
-  AddCounter("http_requests_refused_total", "HTTP requests over a limit, malformed or too slow",
-             http.requests_refused);
+  AddCounter("http_requests_refused_total",
+             "HTTP requests over a limit, malformed, cut off or too slow", http.requests_refused);
   AddCounter("http_connections_refused_total", "HTTP connections over the limit",
              http.connections_refused);
   AddCounter("http_clients_gone_total", "Clients that closed before their answer",
--- a/src/http/internal/server.cpp
+++ b/src/http/internal/server.cpp
@@ -38,13 +38,13 @@
 constexpr std::size_t kDiscardBytes = 16U << 10U;
 
 /// The answer of a request that never reached the handler (RFC 9457).
-HttpResponse Problem(unsigned status, std::string_view kind, std::string_view title) {
+HttpResponse Problem(unsigned status, const Error& error) {
   HttpResponse response;
   response.status = status;
   response.content_type = "application/problem+json";
-  response.body = R"({"type":"about:blank","title":")" + std::string(title) + R"(","status":)" +
-                  std::to_string(status) + R"(,"kind":")" + std::string(kind) +
-                  R"(","not_run":true})";
+  response.body = R"({"type":"about:blank","title":")" + error.detail + R"(","status":)" +
+                  std::to_string(status) + R"(,"kind":")" +
+                  std::string(ErrorAnswerOf(error.kind).name) + R"(","not_run":true})";
   return response;
 }
 
@@ -215,12 +215,14 @@
       return;
     }
     ++m_refused_connections;
+    const Error error{ErrorKind::kNoCapacity, "Too many connections"};
+    m_handler.OnRequestRefused(error, session->remote);
     if (m_rejecting < kMaxRejecting) {
       ++m_rejecting;
       session->rejected = true;
       Track(session);
       session->keep_alive = false;
-      Write(session, Problem(503, "no_capacity", "Too many connections"));
+      Write(session, Problem(503, error));
     }
   }
 
@@ -355,23 +357,35 @@
   void ReadFailed(const SessionPtr& session, error_code error) {
     session->keep_alive = false;
     if (session->timed_out) {
-      ++m_refused_requests;
-      Write(session, Problem(408, "malformed_request", "Request not received in time"));
+      Refuse(session, 408, {ErrorKind::kMalformedRequest, "Request not received in time"});
     } else if (error == http::error::body_limit) {
-      ++m_refused_requests;
-      Write(session, Problem(413, "body_too_large", "Request body too large"));
+      Refuse(session, 413, {ErrorKind::kBodyTooLarge, "Request body too large"});
     } else if (error == http::error::header_limit) {
-      ++m_refused_requests;
-      Write(session, Problem(431, "malformed_request", "Request header fields too large"));
-    } else if (error == http::error::end_of_stream || error == http::error::partial_message ||
-               error.category() != http::make_error_code(http::error::bad_target).category()) {
+      Refuse(session, 431, {ErrorKind::kMalformedRequest, "Request header fields too large"});
+    } else if (error == http::error::end_of_stream) {
+      Close(session);
+    } else if (error.category() != http::make_error_code(http::error::bad_target).category() ||
+               error == http::error::partial_message) {
+      // Without a byte of a request it is an idle connection that the client has reset.
+      if (session->parser->got_some()) {
+        CountRefusal(session, {ErrorKind::kMalformedRequest, "Connection closed in a request"});
+      }
       Close(session);
     } else {
-      ++m_refused_requests;
-      Write(session, Problem(400, "malformed_request", "Malformed HTTP request"));
+      Refuse(session, 400, {ErrorKind::kMalformedRequest, "Malformed HTTP request"});
     }
   }
 
+  void CountRefusal(const SessionPtr& session, const Error& error) {
+    ++m_refused_requests;
+    m_handler.OnRequestRefused(error, session->remote);
+  }
+
+  void Refuse(const SessionPtr& session, unsigned status, const Error& error) {
+    CountRefusal(session, error);
+    Write(session, Problem(status, error));
+  }
+
   void Dispatch(const SessionPtr& session) {
     auto message = session->parser->release();
     session->version = message.version();
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -73,6 +73,9 @@
   virtual void OnRequest(HttpRequest request, HttpResponder responder) = 0;
   /// The client closed before its request was answered. An answer given later is discarded.
   virtual void OnClientGone(HttpRequestId request) = 0;
+  /// A request that never reached OnRequest: over a limit, malformed, cut off or too slow; or a
+  /// connection over the limit.
+  virtual void OnRequestRefused(const Error& /*reason*/, const std::string& /*remote_address*/) {}
 };
 
 struct HttpServerCounters {
@@ -80,7 +83,7 @@
   std::uint64_t connections_open = 0;
   /// Connections refused at max_connections.
   std::uint64_t connections_refused = 0;
-  /// Requests over a limit, malformed or timed out.
+  /// Requests over a limit, malformed, cut off or timed out.
   std::uint64_t requests_refused = 0;
   std::uint64_t clients_gone = 0;
 };
--- a/src/http/tests/http_test.cpp
+++ b/src/http/tests/http_test.cpp
@@ -46,6 +46,12 @@
     gone.push_back(request);
     m_changed.notify_all();
   }
+  void OnRequestRefused(const Error& reason, const std::string& remote_address) override {
+    BOOST_TEST(remote_address.starts_with("127.0.0.1:"));
+    const std::lock_guard lock(m_mutex);
+    refusals.push_back(reason.kind);
+    m_changed.notify_all();
+  }
   bool WaitFor(const std::function<bool()>& condition) {
     std::unique_lock lock(m_mutex);
     return m_changed.wait_for(lock, kStuck, condition);
@@ -57,6 +63,7 @@
   std::vector<HttpRequest> requests;
   std::vector<HttpResponder> responders;
   std::vector<HttpRequestId> gone;
+  std::vector<ErrorKind> refusals;
 
  private:
   std::mutex m_mutex;
@@ -235,8 +242,17 @@
     BOOST_TEST(answer.find("application/problem+json") != std::string::npos);
     BOOST_TEST(answer.find("\"not_run\":true") != std::string::npos);
   }
+  {
+    RawClient client(server->address());
+    client.Write("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nhalf");
+  }
+  // A client that leaves in the middle of its request gets no answer, but is counted too.
+  const std::size_t refused = cases.size() + 1;
+  BOOST_TEST(handler.WaitFor([&] { return handler.refusals.size() == refused; }));
+  BOOST_TEST(server->counters().requests_refused == refused);
   BOOST_TEST(handler.requests.empty());
-  BOOST_TEST(server->counters().requests_refused == cases.size());
+  BOOST_TEST((handler.refusals.front() == ErrorKind::kBodyTooLarge));
+  BOOST_TEST((handler.refusals.back() == ErrorKind::kMalformedRequest));
 }
 
 // Guards against connections without bound.
