Answer readiness from the stop signal itself, and wait for the log line after a refused hello

Cause of the readiness of 200 after SIGTERM: the signal set queues its completion through a pipe. If the signal is delivered while the entry returns from epoll_wait with a request, the pipe is read two turns of the loop later, and the request is handled before the completion. The flag is now set by the handler, which runs before any request that arrived after the signal.

bad_frames polls for the log line for two flush periods of the log, as its writer is another thread.

--- a/src/app/internal/dispatch_entry_app.cpp
+++ b/src/app/internal/dispatch_entry_app.cpp
@@ -141,14 +141,14 @@
       log().Record(DecisionClass::kStateChange, ready ? "ready" : "not_ready", {},
                    {{"has_plan", static_cast<std::int64_t>(m_plan.has_value())},
                     {"workers", static_cast<std::int64_t>(m_dispatcher.usable_workers(now))},
-                    {"stopping", static_cast<std::int64_t>(m_stop_requested_at.has_value())}});
+                    {"stopping", static_cast<std::int64_t>(is_stop_signalled())}});
     }
   }
   EndLoopIfStopped(now);
 }
 
 bool DispatchEntryApp::IsReady(Now now) const {
-  return m_plan.has_value() && !m_stop_requested_at && m_dispatcher.usable_workers(now) > 0;
+  return m_plan.has_value() && !is_stop_signalled() && m_dispatcher.usable_workers(now) > 0;
 }
 
 void DispatchEntryApp::OnStateRead(const StateRead& read) {
--- a/src/app/internal/dispatch_process.cpp
+++ b/src/app/internal/dispatch_process.cpp
@@ -34,6 +34,13 @@
 
 constexpr milliseconds kSettingsCheckPeriod{2'000};
 
+/// Number of the stop signal that was received last, 0 if none. Set by the handler itself: a request
+/// that arrives after the signal is handled after the handler has run, but possibly before a
+/// completion that the handler would queue.
+volatile std::sig_atomic_t g_stop_signal = 0;
+
+void OnStopSignal(int number) { g_stop_signal = number; }
+
 std::int64_t ModificationTimeOf(const std::string& path) {
   struct stat status {};
   if (::stat(path.c_str(), &status) != 0) return 0;
@@ -57,13 +64,15 @@
 
 DispatchProcess::DispatchProcess(DispatchProcessConfig config)
     : m_config(std::move(config)),
-      m_signals(m_loop, SIGTERM, SIGINT, SIGHUP),
+      m_reload_signal(m_loop, SIGHUP),
       m_tick(m_loop),
       m_self{NodeIdOf(m_config.internal_address), NewIncarnation()},
       m_log(EventLog::Create(m_config.name, m_config.zone, m_self.incarnation,
                              m_config.log_rate_limits)) {
   // Writing to a connection that the peer has closed must not terminate the process.
   std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGTERM, OnStopSignal);
+  std::signal(SIGINT, OnStopSignal);
 }
 
 DispatchProcess::~DispatchProcess() {
@@ -100,7 +109,7 @@
     m_log->Tick(now);
     return ExitStatus::kFailed;
   }
-  AwaitSignal();
+  AwaitReloadSignal();
   ScheduleTick();
   m_loop.run();
   Close();
@@ -120,6 +129,7 @@
   m_tick.async_wait([this](boost::system::error_code error) {
     if (error) return;
     const Now now = ReadBootClocks();
+    StopIfSignalled(now);
     OnTick(now);
     ReloadIfChanged(now);
     m_log->Tick(now);
@@ -127,21 +137,23 @@
   });
 }
 
-void DispatchProcess::AwaitSignal() {
-  m_signals.async_wait([this](boost::system::error_code error, int number) {
+void DispatchProcess::AwaitReloadSignal() {
+  m_reload_signal.async_wait([this](boost::system::error_code error, int /*number*/) {
     if (error) return;
-    const Now now = ReadBootClocks();
-    if (number == SIGHUP) {
-      Reload("signal", now);
-    } else if (!std::exchange(m_stopping, true)) {
-      m_log->Record(DecisionClass::kStateChange, "stop_requested", {},
-                    {{"signal", static_cast<std::int64_t>(number)}});
-      OnStopRequested(now);
-    }
-    AwaitSignal();
+    Reload("signal", ReadBootClocks());
+    AwaitReloadSignal();
   });
 }
 
+bool DispatchProcess::is_stop_signalled() { return g_stop_signal != 0; }
+
+void DispatchProcess::StopIfSignalled(Now now) {
+  if (!is_stop_signalled() || std::exchange(m_stopping, true)) return;
+  m_log->Record(DecisionClass::kStateChange, "stop_requested", {},
+                {{"signal", static_cast<std::int64_t>(g_stop_signal)}});
+  OnStopRequested(now);
+}
+
 void DispatchProcess::ReloadIfChanged(Now now) {
   if (now.steady < m_next_settings_check) return;
   m_next_settings_check = now.steady + kSettingsCheckPeriod;
--- a/src/app/internal/dispatch_process.h
+++ b/src/app/internal/dispatch_process.h
@@ -72,12 +72,16 @@
   virtual void OnPeerConnected(NodeRef peer, Now now) = 0;
   /// Called every kTickPeriod.
   virtual void OnTick(Now now) = 0;
-  /// Called once, on the first SIGTERM or SIGINT. The process ends when it calls EndLoop().
+  /// Called once, in the first tick after SIGTERM or SIGINT. The process ends when it calls
+  /// EndLoop().
   virtual void OnStopRequested(Now now) = 0;
   /// Called after the operators' documents have changed.
   virtual void OnDocuments(Now now) = 0;
   virtual void Close() = 0;
 
+  /// Whether SIGTERM or SIGINT has been received, also before OnStopRequested() is called.
+  static bool is_stop_signalled();
+
   void EndLoop(ExitStatus status);
   void Send(NodeRef to, Message message);
   void Send(std::vector<SendMessage> messages);
@@ -110,13 +114,14 @@
   void OnDisconnected(NodeRef peer) override;
   void OnRefused(const std::string& remote_address, const Error& reason) override;
   void ScheduleTick();
-  void AwaitSignal();
+  void AwaitReloadSignal();
+  void StopIfSignalled(Now now);
   void Reload(std::string_view cause, Now now);
   void ReloadIfChanged(Now now);
 
   DispatchProcessConfig m_config;
   boost::asio::io_context m_loop{1};
-  boost::asio::signal_set m_signals;
+  boost::asio::signal_set m_reload_signal;
   boost::asio::steady_timer m_tick;
   NodeRef m_self;
   std::unique_ptr<EventLog> m_log;
--- a/src/app/tests/bad_input_process_test.cpp
+++ b/src/app/tests/bad_input_process_test.cpp
@@ -228,7 +228,8 @@
       BOOST_TEST(connection.was_closed());
     }
     BOOST_TEST(fleet.Metric(instance, hellos) == before + 1, instance.name);
-    BOOST_TEST(fleet.LogTail(instance).find("protocol version") != std::string::npos);
+    // The log thread writes the line after the connection has been closed.
+    BOOST_TEST(fleet.WaitForLog(instance, "protocol version", kLogTimeout), instance.name);
   }
   CheckStillServing(fleet, "after-frames");
 }
--- a/src/app/tests/fleet.cpp
+++ b/src/app/tests/fleet.cpp
@@ -433,4 +433,14 @@
   return text.size() > kLogTailBytes ? text.substr(text.size() - kLogTailBytes) : text;
 }
 
+bool Fleet::WaitForLog(const Instance& instance, std::string_view text,
+                       std::chrono::milliseconds timeout) const {
+  const auto deadline = std::chrono::steady_clock::now() + timeout;
+  while (LogTail(instance).find(text) == std::string::npos) {
+    if (std::chrono::steady_clock::now() >= deadline) return false;
+    std::this_thread::sleep_for(kPollPeriod);
+  }
+  return true;
+}
+
 }  // namespace foxtailrudder::app_test
--- a/src/app/tests/fleet.h
+++ b/src/app/tests/fleet.h
@@ -23,6 +23,8 @@
 /// Timeout for conditions that a test waits for. Longer than any recovery takes by design on a busy
 /// machine.
 inline constexpr std::chrono::seconds kWaitTimeout{60};
+/// Bound for a log line to be written after its event: two flush periods of the log.
+inline constexpr std::chrono::milliseconds kLogTimeout{2'000};
 
 struct FleetOptions {
   int entries = 3;
@@ -129,6 +131,9 @@
 
   /// The end of the instance's log.
   std::string LogTail(const Instance& instance) const;
+  /// Returns false if the text does not appear in the end of the instance's log within the timeout.
+  bool WaitForLog(const Instance& instance, std::string_view text,
+                  std::chrono::milliseconds timeout) const;
   const std::filesystem::path& directory() const { return m_directory; }
 
  private:
