Send the operators' documents on request, compressed, and let slow reads of the store progress

Cause: every entry sent all documents to every entry on a change, and to every sidecar whose report was older: E x (E + S) x D, 77 MB an entry at 55 + 240 processes and 262 KB, on the link that also carries tasks and answers. On a link of 2 Mbit/s the read of a large change took longer than the deadline of the whole response (0.9 or 1.5 s) and was started anew without end. Now a process that hears of a newer version asks one peer for what it lacks (StateRequest; DocumentSync decides when), texts above 4 KiB are deflated, and a read of the store ends for silence (0.9 s), not for its length.

--- a/cmake/foxtailrudder.cmake
+++ b/cmake/foxtailrudder.cmake
@@ -6,6 +6,7 @@
 find_package(Threads REQUIRED)
 find_package(spdlog REQUIRED)
 find_package(CLI11 REQUIRED)
+find_package(ZLIB REQUIRED)
 find_library(XXHASH_LIBRARY xxhash REQUIRED)
 find_library(FLATBUFFERS_LIBRARY flatbuffers REQUIRED)
 
--- a/src/app/internal/dispatch_entry_app.cpp
+++ b/src/app/internal/dispatch_entry_app.cpp
@@ -16,6 +16,10 @@
 
 constexpr milliseconds kRegisterRetry{500};
 
+/// While the store answers, it delivers a change to this entry too, but a large one on a slow link
+/// takes longer than this: a peer then sends it compressed.
+constexpr DocumentRequestDelay kStoreHeadStart{milliseconds(400), milliseconds(800)};
+
 }  // namespace
 
 HttpResponse DispatchEntryApp::StatusPage(const HttpRequest& request) const {
@@ -100,12 +104,12 @@
     m_dispatcher.OnTaskReports(envelope.from, *ends, now, out);
   } else if (const auto* entry = std::get_if<EntryReport>(&envelope.message)) {
     OnEntryReport(envelope.from, *entry, now);
-    if (entry->state_version < documents().newest()) Send(envelope.from, documents().Copy());
   }
   Perform(out);
 }
 
 void DispatchEntryApp::OnWorkerReport(NodeRef from, const WorkerReport& report, Now now) {
+  OnPeerVersion(from, report.state_version, now);
   DispatchOutputs out;
   m_dispatcher.OnWorkerReport(from, report, now, out);
   EntryReport reply;
@@ -115,7 +119,6 @@
   reply.entries = LiveEntryAddresses(now);
   reply.entries.push_back(m_settings.internal_address);
   Send(from, std::move(reply));
-  if (report.state_version < documents().newest()) Send(from, documents().Copy());
   Perform(out);
 }
 
@@ -160,9 +163,13 @@
     MergeDocuments(read.state, "store", now);
   }
   if (documents().newest() == before) return;
-  // Other processes may be unable to read the store. Entries get the documents at once, sidecars in
-  // answer to their next report.
-  for (const auto& [id, entry] : entries()) Send(NodeRef{id, 0}, documents().Copy());
+  // Other processes may be unable to read the store; the next report tells them the version.
+  m_next_report = now.steady;
+}
+
+DocumentRequestDelay DispatchEntryApp::document_request_delay() const {
+  if (!m_watcher.is_reachable()) return {};
+  return kStoreHeadStart;
 }
 
 void DispatchEntryApp::OnDocuments(Now now) {
--- a/src/app/internal/dispatch_entry_app.h
+++ b/src/app/internal/dispatch_entry_app.h
@@ -26,6 +26,7 @@
   void OnTick(Now now) override;
   void OnStopRequested(Now now) override;
   void OnDocuments(Now now) override;
+  DocumentRequestDelay document_request_delay() const override;
   void Close() override;
 
   void OnRequest(HttpRequest request, HttpResponder responder) override;
--- a/src/app/internal/dispatch_process.cpp
+++ b/src/app/internal/dispatch_process.cpp
@@ -34,9 +34,9 @@
 
 constexpr milliseconds kSettingsCheckPeriod{2'000};
 
-/// Number of the stop signal that was received last, 0 if none. Set by the handler itself: a request
-/// that arrives after the signal is handled after the handler has run, but possibly before a
-/// completion that the handler would queue.
+/// Number of the stop signal that was received last, 0 if none. Set by the handler itself: a
+/// request that arrives after the signal is handled after the handler has run, but possibly before
+/// a completion that the handler would queue.
 volatile std::sig_atomic_t g_stop_signal = 0;
 
 void OnStopSignal(int number) { g_stop_signal = number; }
@@ -68,7 +68,8 @@
       m_tick(m_loop),
       m_self{NodeIdOf(m_config.internal_address), NewIncarnation()},
       m_log(EventLog::Create(m_config.name, m_config.zone, m_self.incarnation,
-                             m_config.log_rate_limits)) {
+                             m_config.log_rate_limits)),
+      m_document_sync(Random(MixHash(m_self.id, m_self.incarnation))) {
   // Writing to a connection that the peer has closed must not terminate the process.
   std::signal(SIGPIPE, SIG_IGN);
   std::signal(SIGTERM, OnStopSignal);
@@ -201,6 +202,7 @@
 
 void DispatchProcess::OnEntryReport(NodeRef ref, const EntryReport& report, Now now) {
   for (const std::string& address : report.entries) AddKnownEntry(address, false, now);
+  OnPeerVersion(ref, report.state_version, now);
   const auto found = m_entries.find(ref.id);
   if (found == m_entries.end()) return;
   KnownEntry& entry = found->second;
@@ -253,6 +255,17 @@
   OnDocuments(now);
 }
 
+void DispatchProcess::OnPeerVersion(NodeRef peer, Version version, Now now) {
+  const Version own = m_documents.newest();
+  if (!m_document_sync.OnPeerVersion(version, own, document_request_delay(), now)) return;
+  ++m_document_requests;
+  m_log->Record(DecisionClass::kStateChange, "documents_requested", {},
+                {{"peer", static_cast<std::int64_t>(peer.id)},
+                 {"version", static_cast<std::int64_t>(version)},
+                 {"own", static_cast<std::int64_t>(own)}});
+  Send(peer, StateRequest{own});
+}
+
 void DispatchProcess::OnHttpRefused(const Error& reason, const std::string& remote_address) {
   m_http_refusals.Add(reason.kind);
   m_log->Record(DecisionClass::kAnomaly, "request_unreadable", {},
@@ -266,6 +279,8 @@
   page.AddHttp(server.counters(), m_http_refusals);
   page.AddGauge("document_version", "Newest version of the operators' documents",
                 static_cast<double>(m_documents.newest()));
+  page.AddCounter("document_requests_total", "Requests to a peer for newer documents",
+                  m_document_requests);
   page.AddGauge("known_entries", "Entries known", static_cast<double>(m_entries.size()));
   page.AddCounter("log_lines_dropped_total", "Log lines over the budget", m_log->dropped_lines());
 }
@@ -278,6 +293,10 @@
     MergeDocuments(*state, "peer", now);
     return;
   }
+  if (const auto* request = std::get_if<StateRequest>(&envelope.message)) {
+    Send(envelope.from, m_documents.After(request->after));
+    return;
+  }
   OnMessage(envelope, now);
 }
 
--- a/src/app/internal/dispatch_process.h
+++ b/src/app/internal/dispatch_process.h
@@ -97,6 +97,10 @@
   std::vector<std::string> LiveEntryAddresses(Now now) const;
 
   void MergeDocuments(const AgreedState& state, std::string_view source, Now now);
+  /// Requests the documents that a peer holds and this process lacks, when a request is due.
+  void OnPeerVersion(NodeRef peer, Version version, Now now);
+  /// How long this process leaves newer documents to other sources before it asks a peer.
+  virtual DocumentRequestDelay document_request_delay() const = 0;
 
   boost::asio::io_context& loop() { return m_loop; }
   EventLog& log() { return *m_log; }
@@ -128,6 +132,8 @@
   RefusalCounters m_http_refusals;
   std::unique_ptr<Network> m_network;
   AgreedDocuments m_documents;
+  DocumentSync m_document_sync;
+  std::uint64_t m_document_requests = 0;
   std::map<NodeId, KnownEntry> m_entries;
   std::int64_t m_settings_modified_at = 0;
   SteadyTime m_next_settings_check;
--- a/src/app/internal/dispatch_sidecar_app.cpp
+++ b/src/app/internal/dispatch_sidecar_app.cpp
@@ -10,6 +10,10 @@
 /// Period of reading entry addresses from the store while no entry is live.
 constexpr milliseconds kEntryDiscoveryPeriod{1'500};
 
+/// A sidecar keeps a copy of the documents only for entries that restart while the store is down.
+/// The range keeps the copies of many sidecars off the links on which callers wait.
+constexpr DocumentRequestDelay kCopyDelay{milliseconds(500), milliseconds(3'000)};
+
 /// The process ends this long before the stop grace period is over.
 constexpr milliseconds kStopMargin{700};
 
@@ -64,7 +68,6 @@
 void DispatchSidecarApp::OnMessage(const Envelope& envelope, Now now) {
   if (const auto* report = std::get_if<EntryReport>(&envelope.message)) {
     OnEntryReport(envelope.from, *report, now);
-    if (report->state_version < documents().newest()) Send(envelope.from, documents().Copy());
   }
   ExecutorOutputs out;
   m_executor.OnMessage(envelope, now, out);
@@ -124,6 +127,8 @@
 
 void DispatchSidecarApp::OnDocuments(Now /*now*/) {}
 
+DocumentRequestDelay DispatchSidecarApp::document_request_delay() const { return kCopyDelay; }
+
 void DispatchSidecarApp::OnRequest(HttpRequest request, HttpResponder responder) {
   const Now now = ReadBootClocks();
   EndpointReport report = m_adapters.announcements->Read(request);
--- a/src/dispatch/agreed_documents.h
+++ b/src/dispatch/agreed_documents.h
@@ -9,8 +9,9 @@
 
 namespace foxtailrudder {
 
-/// This process's copy of the operators' documents. A document is replaced only by a higher
-/// version, whichever process sends it, so a delayed copy never overwrites a newer one.
+/// This process's copy of the operators' documents; large ones are kept compressed. A document is
+/// replaced only by a higher version, whichever process sends it, so a delayed copy never
+/// overwrites a newer one.
 class AgreedDocuments {
  public:
   /// Stores each document that is newer than the stored one. Returns whether any was.
@@ -23,7 +24,9 @@
   /// Highest version of any document; 0 if there is none.
   Version newest() const { return m_newest; }
 
-  AgreedState Copy() const;
+  /// The documents above a version, removed ones included. A process that is complete up to that
+  /// version and merges them is complete up to newest().
+  AgreedState After(Version version) const;
 
   /// Returns null if the document is unknown or has been removed.
   const StateDocument* Find(std::string_view name) const;
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -6,6 +6,8 @@
 
 #include "dispatch/agreed_documents.h"  // IWYU pragma: export
 #include "dispatch/dispatch_plan.h"     // IWYU pragma: export
+#include "dispatch/document_sync.h"     // IWYU pragma: export
+#include "dispatch/document_text.h"     // IWYU pragma: export
 #include "dispatch/entry_dispatcher.h"  // IWYU pragma: export
 #include "dispatch/job.h"               // IWYU pragma: export
 #include "dispatch/timing.h"            // IWYU pragma: export
--- a/src/dispatch/internal/agreed_documents.cpp
+++ b/src/dispatch/internal/agreed_documents.cpp
@@ -2,12 +2,15 @@
 
 #include <algorithm>
 
+#include "dispatch/document_text.h"
+
 namespace foxtailrudder {
 
 bool AgreedDocuments::Take(const StateDocument& document) {
   StateDocument& held = m_documents[document.name];
   if (held.version >= document.version) return false;
   held = document;
+  CompressText(held);
   m_newest = std::max(m_newest, document.version);
   return true;
 }
@@ -26,17 +29,18 @@
       return document.name == name;
     };
     if (std::ranges::any_of(state.documents, listed)) continue;
-    held = {name, version, true, {}};
+    held = {name, version, true, {}, false};
     m_newest = std::max(m_newest, version);
     changed = true;
   }
   return changed;
 }
 
-AgreedState AgreedDocuments::Copy() const {
+AgreedState AgreedDocuments::After(Version version) const {
   AgreedState state;
-  state.documents.reserve(m_documents.size());
-  for (const auto& [name, document] : m_documents) state.documents.push_back(document);
+  for (const auto& [name, document] : m_documents) {
+    if (document.version > version) state.documents.push_back(document);
+  }
   return state;
 }
 
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -26,6 +26,11 @@
   std::string body = {};
   /// The request fails with kDeadline if the response is not complete by then.
   SteadyTime deadline = SteadyTime::max();
+  /// The request fails with kDeadline if no byte of the response has arrived by then.
+  SteadyTime first_byte_deadline = SteadyTime::max();
+  /// If not 0, the request fails with kDeadline once a started response has made no progress for
+  /// this long.
+  std::chrono::milliseconds max_silence{0};
   /// If set, called on the I/O thread immediately before the request is written. If it returns
   /// false, the request fails with kNotAllowed.
   std::function<bool()> may_write = {};
--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -153,19 +153,12 @@
 
   void Start(const CallPtr& call) {
     m_calls.emplace(call->id, call);
-    if (call->request.deadline != SteadyTime::max()) {
-      call->timer.expires_at(call->request.deadline);
-      call->timer.async_wait([this, call](error_code error) {
-        if (!error) {
-          Fail(call, HttpClientErrorKind::kDeadline, "no complete response by the deadline");
-        }
-      });
-      if (call->request.deadline <= std::chrono::steady_clock::now()) {
-        Fail(call, HttpClientErrorKind::kDeadline,
-             "deadline passed before the request was started");
-        return;
-      }
+    const SteadyTime deadline = std::min(call->request.deadline, call->request.first_byte_deadline);
+    if (deadline <= std::chrono::steady_clock::now()) {
+      Fail(call, HttpClientErrorKind::kDeadline, "deadline passed before the request was started");
+      return;
     }
+    SetDeadline(call, deadline);
     Pool& pool = m_pools[call->request.address];
     if (!AssignConnection(pool, call)) {
       if (pool.waiting.size() >= m_config.max_waiting_per_address) {
@@ -176,6 +169,30 @@
     }
   }
 
+  /// Replaces the time at which the call fails.
+  void SetDeadline(const CallPtr& call, SteadyTime deadline) {
+    if (deadline == SteadyTime::max()) {
+      call->timer.cancel();
+      return;
+    }
+    call->timer.expires_at(deadline);
+    call->timer.async_wait([this, call](error_code error) {
+      if (!error) {
+        Fail(call, HttpClientErrorKind::kDeadline, "no complete response by the deadline");
+      }
+    });
+  }
+
+  void OnProgress(const CallPtr& call) {
+    const HttpClientRequest& request = call->request;
+    if (request.max_silence.count() > 0) {
+      SetDeadline(
+          call, std::min(request.deadline, std::chrono::steady_clock::now() + request.max_silence));
+    } else if (request.first_byte_deadline < request.deadline) {
+      SetDeadline(call, request.deadline);
+    }
+  }
+
   /// Assigns an idle connection of the pool to a call, or opens a new one. Returns false if the
   /// pool is at its connection limit.
   bool AssignConnection(Pool& pool, const CallPtr& call) {
@@ -284,7 +301,13 @@
     connection->parser->body_limit(m_config.max_response_bytes);
     connection->parser->header_limit(kMaxResponseHeaderBytes);
     connection->parser->skip(call->request.method == "HEAD");
-    http::async_read(
+    connection->parser->eager(true);
+    ReadSome(call);
+  }
+
+  void ReadSome(const CallPtr& call) {
+    const ConnectionPtr connection = call->connection;
+    http::async_read_some(
         connection->socket, connection->buffer, *connection->parser,
         [this, call, connection](error_code error, std::size_t /*size*/) {
           if (call->finished) {
@@ -299,7 +322,12 @@
                  error.message());
             return;
           }
-          Complete(call, connection);
+          if (connection->parser->is_done()) {
+            Complete(call, connection);
+            return;
+          }
+          OnProgress(call);
+          ReadSome(call);
         });
   }
 
--- a/src/http/tests/http_test.cpp
+++ b/src/http/tests/http_test.cpp
@@ -421,6 +421,45 @@
   BOOST_TEST(error.sent);
 }
 
+// Guards against a large response on a slow link that is given up although it makes progress, and
+// then requested again without end.
+BOOST_AUTO_TEST_CASE(a_response_that_makes_progress_outlasts_the_first_byte_deadline) {
+  RawServer server;
+  const auto client = HttpClient::Create({});
+  Results results;
+  HttpClientRequest request;
+  request.address = server.address();
+  request.first_byte_deadline = DeadlineAfter(std::chrono::milliseconds(300));
+  request.max_silence = std::chrono::milliseconds(300);
+  client->Request(request, results.Callback());
+  auto socket = server.Accept();
+  ReadSome(socket);
+  asio::write(socket, asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n")));
+  for (int part = 0; part < 8; ++part) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    asio::write(socket, asio::buffer(std::string("x")));
+  }
+  const auto result = results.Wait(1).front();
+  BOOST_TEST_REQUIRE(std::holds_alternative<HttpClientResponse>(result));
+  BOOST_TEST(std::get<HttpClientResponse>(result).body == "xxxxxxxx");
+}
+
+// Guards against a response that stops halfway and holds its request open.
+BOOST_AUTO_TEST_CASE(a_response_that_falls_silent_is_given_up) {
+  RawServer server;
+  const auto client = HttpClient::Create({});
+  Results results;
+  HttpClientRequest request;
+  request.address = server.address();
+  request.first_byte_deadline = DeadlineAfter(std::chrono::seconds(30));
+  request.max_silence = std::chrono::milliseconds(100);
+  client->Request(request, results.Callback());
+  auto socket = server.Accept();
+  ReadSome(socket);
+  asio::write(socket, asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nx")));
+  BOOST_TEST((results.WaitForError().kind == HttpClientErrorKind::kDeadline));
+}
+
 // Guards against a cancelled task that keeps its connection to the endpoint.
 BOOST_AUTO_TEST_CASE(abort_closes_the_connection) {
   Recorder handler;
--- a/src/model/dispatch_messages.h
+++ b/src/model/dispatch_messages.h
@@ -150,12 +150,21 @@
   std::string name;
   Version version = 0;
   bool removed = false;
+  /// The text as stored, or compressed with zlib.
   std::string text;
+  bool is_compressed = false;
 
   friend bool operator==(const StateDocument&, const StateDocument&) = default;
 };
 
-/// Between any two processes: all StateDocuments that the sender holds.
+/// Between any two processes: send me all StateDocuments above this version.
+struct StateRequest {
+  Version after = 0;
+
+  friend bool operator==(const StateRequest&, const StateRequest&) = default;
+};
+
+/// Answer to a StateRequest: all StateDocuments above the requested version that the sender holds.
 struct AgreedState {
   std::vector<StateDocument> documents;
 
--- a/src/model/messages.h
+++ b/src/model/messages.h
@@ -369,12 +369,13 @@
   friend bool operator==(const WrongIncarnation&, const WrongIncarnation&) = default;
 };
 
-using Message = std::variant<Heartbeat, HeartbeatReply, PeerStatus, ConfirmRequest, ConfirmReply,
-                             PromiseRequest, PromiseReply, ForwardJob, JobReply, CancelJob,
-                             QueryJob, JobStatus, DispatchTask, TaskRefused, TaskFinished,
-                             CancelTask, TaskQuery, TaskState, EvidenceRequest, EvidenceReply,
-                             HandoverRequest, Handover, HandoverAck, WrongIncarnation, PlaceTasks,
-                             WithdrawTasks, TaskReports, WorkerReport, EntryReport, AgreedState>;
+using Message =
+    std::variant<Heartbeat, HeartbeatReply, PeerStatus, ConfirmRequest, ConfirmReply,
+                 PromiseRequest, PromiseReply, ForwardJob, JobReply, CancelJob, QueryJob, JobStatus,
+                 DispatchTask, TaskRefused, TaskFinished, CancelTask, TaskQuery, TaskState,
+                 EvidenceRequest, EvidenceReply, HandoverRequest, Handover, HandoverAck,
+                 WrongIncarnation, PlaceTasks, WithdrawTasks, TaskReports, WorkerReport,
+                 EntryReport, AgreedState, StateRequest>;
 
 /// A message with its sender and its addressee.
 struct Envelope {
--- a/src/transport/internal/codec.cpp
+++ b/src/transport/internal/codec.cpp
@@ -450,7 +450,12 @@
 
   fb::Offset<wire::StateDocument> Put(const StateDocument& m) {
     const auto name = Put(m.name);
-    return wire::CreateStateDocument(builder, name, m.version, m.removed, Put(m.text));
+    return wire::CreateStateDocument(builder, name, m.version, m.removed, Put(m.text),
+                                     m.is_compressed);
+  }
+
+  fb::Offset<wire::StateRequest> Put(const StateRequest& m) {
+    return wire::CreateStateRequest(builder, m.after);
   }
 
   fb::Offset<wire::AgreedState> Put(const AgreedState& m) {
@@ -996,8 +1001,11 @@
     out.version = in.version();
     out.removed = in.removed();
     Get(*in.text(), out.text);
+    out.is_compressed = in.compressed();
   }
 
+  static void Get(const wire::StateRequest& in, StateRequest& out) { out.after = in.after(); }
+
   void Get(const wire::AgreedState& in, AgreedState& out) {
     GetAll(*in.documents(), out.documents);
   }
@@ -1048,6 +1056,7 @@
 FOXTAILRUDDER_WIRE(WorkerReport);
 FOXTAILRUDDER_WIRE(EntryReport);
 FOXTAILRUDDER_WIRE(AgreedState);
+FOXTAILRUDDER_WIRE(StateRequest);
 #undef FOXTAILRUDDER_WIRE
 
 template <std::size_t... kIndex>
--- a/src/transport/tests/codec_test.cpp
+++ b/src/transport/tests/codec_test.cpp
@@ -116,7 +116,8 @@
                    1500,
                    {6, 7}},
       EntryReport{Steady(1), 2, 3, {"127.0.0.1:1", "127.0.0.1:2"}},
-      AgreedState{{{"config", 1, false, "text"}, {"zone", 2, true, ""}}}};
+      AgreedState{{{"config", 1, false, "te\0xt", true}, {"zone", 2, true, "", false}}},
+      StateRequest{7}};
 }
 
 std::vector<std::uint8_t> SampleFrame(std::size_t index) {
