--- a/src/app/tests/drain_process_test.cpp
+++ b/src/app/tests/drain_process_test.cpp
@@ -27,6 +27,11 @@
   BOOST_TEST(load.unanswered_requests() == 0U, load.first_unanswered_request());
 }
 
+void CheckNoOutcomeUnknown(const Ledger& ledger) {
+  const std::string answer = ledger.FirstAnswerOfKind("outcome_unknown");
+  BOOST_TEST(answer.empty(), ledger.Summary() << answer);
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(drain_process)
@@ -41,7 +46,7 @@
   load.WaitForJobs(60);
   load.Stop();
   CheckNoUnansweredRequests(load, ledger);
-  BOOST_TEST(ledger.Summary().find("outcome_unknown") == std::string::npos, ledger.Summary());
+  CheckNoOutcomeUnknown(ledger);
   ledger.Check(fleet.ReadStartLogs());
 }
 
@@ -63,7 +68,7 @@
   }
   load.Stop();
   CheckNoUnansweredRequests(load, ledger);
-  BOOST_TEST(ledger.Summary().find("outcome_unknown") == std::string::npos, ledger.Summary());
+  CheckNoOutcomeUnknown(ledger);
   ledger.Check(fleet.ReadStartLogs());
 }
 
@@ -84,7 +89,7 @@
   load.WaitForJobs(60);
   load.Stop();
   CheckNoUnansweredRequests(load, ledger);
-  BOOST_TEST(ledger.Summary().find("outcome_unknown") == std::string::npos, ledger.Summary());
+  CheckNoOutcomeUnknown(ledger);
   ledger.Check(fleet.ReadStartLogs());
 }
 
--- a/src/app/tests/fleet.cpp
+++ b/src/app/tests/fleet.cpp
@@ -126,6 +126,8 @@
   m_client->Stop();
   for (auto* group : {&m_sidecars, &m_endpoints, &m_entries}) group->clear();
   m_platform.process.reset();
+  // Set to trace a failure that does not always occur.
+  if (std::getenv("FOXTAILRUDDER_KEEP_LOGS") != nullptr) return;
   std::error_code ignored;
   std::filesystem::remove_all(m_directory, ignored);
 }
--- a/src/app/tests/ledger.cpp
+++ b/src/app/tests/ledger.cpp
@@ -75,6 +75,18 @@
   }
 }
 
+std::string Ledger::FirstAnswerOfKind(const std::string& kind) const {
+  const std::lock_guard lock(m_mutex);
+  for (const auto& [key, record] : m_records) {
+    for (const Reply& reply : record.replies) {
+      if (reply.status != 0 && reply.status != 200 && reply.ErrorKind() == kind) {
+        return key + ": " + reply.body;
+      }
+    }
+  }
+  return {};
+}
+
 std::size_t Ledger::CountComplete() const {
   const std::lock_guard lock(m_mutex);
   std::size_t complete = 0;
--- a/src/app/tests/ledger.h
+++ b/src/app/tests/ledger.h
@@ -22,6 +22,8 @@
 
   /// Number of jobs whose last answer is complete.
   std::size_t CountComplete() const;
+  /// Key and body of the first answer with this kind of error; empty if there is none.
+  std::string FirstAnswerOfKind(const std::string& kind) const;
   /// Number of keys per kind of their last answer, for test messages.
   std::string Summary() const;
 
