Hand claims over to the second successor when the first one declines them

Now a sidecar that loses a shard for which it has never decided tells the former owner so, whose claims are complete again; until then the former owner keeps the request of the second successor, which falls back to evidence as before if no answer comes.

--- a/src/coordination/internal/coordinator_ownership.cpp
+++ b/src/coordination/internal/coordinator_ownership.cpp
@@ -57,10 +57,16 @@
       claim.queued = 0;
     }
     // If the shard has no new owner, no handover will be requested.
-    if (m_ownership[shard].authoritative && m_ownership[shard].owner != 0) continue;
+    const ShardState& state = m_ownership[shard];
+    if ((state.authoritative || state.undecided_successor != 0) && state.owner != 0) continue;
     DropClaims(shard);
     m_ownership.SetPhase(shard, ShardPhase::kNotOwned);
   }
+  for (const ShardId shard : changes.declined) {
+    const NodeRef former = m_ownership[shard].handover_source;
+    if (!in.view.table.Lists(former)) continue;
+    in.out.Send(former, HandoverAck{shard, in.view.table.version(), true});
+  }
   m_retry_budget.SetPercent(in.view.bundle.limits.retry_budget_percent);
   m_pool.OnView(in.view, in.now);
   m_queues.OnView(in.view, m_pool, [this](const QueuedTask& task) { return ClaimOf(task); });
@@ -182,7 +188,10 @@
 }
 
 void Coordinator::Impl::AnswerHandover(const PendingHandover& request, Input& in) {
-  if (in.view.table.version() < request.version) {
+  const ShardState& state = m_ownership[request.shard];
+  const bool is_successor = state.phase == ShardPhase::kReleased && state.owner == request.from.id;
+  // Without authority, the answer depends on whether the first successor declines the claims.
+  if (in.view.table.version() < request.version || (is_successor && !state.authoritative)) {
     const bool known =
         std::any_of(m_deferred_handover_requests.begin(), m_deferred_handover_requests.end(),
                     [&](const PendingHandover& other) {
@@ -192,9 +201,8 @@
       m_deferred_handover_requests.push_back(request);
     return;
   }
-  const ShardState& state = m_ownership[request.shard];
   Handover handover{request.shard, request.version, false, std::nullopt, true, {}};
-  if (state.phase != ShardPhase::kReleased || state.owner != request.from.id) {
+  if (!is_successor) {
     in.out.Send(request.from, std::move(handover));
     return;
   }
@@ -316,8 +324,14 @@
   }
 }
 
-void Coordinator::Impl::OnHandoverAck(NodeRef from, const HandoverAck& ack, Input& /*in*/) {
+void Coordinator::Impl::OnHandoverAck(NodeRef from, const HandoverAck& ack, Input& in) {
   if (ack.shard >= kShardCount) return;
+  if (ack.declined) {
+    m_ownership.OnDeclined(ack.shard, from.id);
+    const auto deferred = std::exchange(m_deferred_handover_requests, {});
+    for (const PendingHandover& request : deferred) AnswerHandover(request, in);
+    return;
+  }
   const ShardState& state = m_ownership[ack.shard];
   if (state.phase != ShardPhase::kReleased || state.owner != from.id) return;
   DropClaims(ack.shard);
--- a/src/coordination/internal/shard_ownership.cpp
+++ b/src/coordination/internal/shard_ownership.cpp
@@ -22,6 +22,19 @@
   --m_counts[static_cast<std::size_t>(m_shards[shard].phase)];
   ++m_counts[static_cast<std::size_t>(phase)];
   m_shards[shard].phase = phase;
+  m_shards[shard].has_decided |= phase == ShardPhase::kDeciding;
+}
+
+void ShardOwnership::OnDeclined(ShardId shard, NodeId successor) {
+  ShardState& state = m_shards[shard];
+  if (state.phase != ShardPhase::kReleased) return;
+  if (state.undecided_successor == successor) {
+    state.undecided_successor = 0;
+    state.authoritative = true;
+  } else if (state.owner == successor) {
+    // This sidecar has not learnt yet that the successor lost the shard.
+    state.is_declined = true;
+  }
 }
 
 std::vector<ShardId> ShardOwnership::InPhase(ShardPhase phase) const {
@@ -124,14 +137,20 @@
       if (is_first_sidecar || !m_takeover_evidence) SetPhase(shard, ShardPhase::kDeciding);
       changes.gained.push_back(shard);
     } else if (!owned_by_self && was_owned) {
+      if (!state.has_decided) changes.declined.push_back(shard);
       state.authoritative = state.phase == ShardPhase::kDeciding && permit_was_live && !interrupted;
+      state.undecided_successor = 0;
+      state.is_declined = false;
       state.since_version = version;
       state.since = now.steady;
       SetPhase(shard, ShardPhase::kReleased);
       changes.released.push_back(shard);
     } else if (!owned_by_self && state.phase == ShardPhase::kReleased && state.owner != owner) {
-      // The first successor may have decided, so these claims are not authoritative for the second.
-      state.authoritative = false;
+      // The first successor may have decided, so these claims are not authoritative for the second
+      // unless the first has declined them.
+      state.undecided_successor = state.authoritative && !state.is_declined ? state.owner : 0;
+      state.authoritative = state.authoritative && state.is_declined;
+      state.is_declined = false;
       changes.released.push_back(shard);
     }
     state.owner = owner;
--- a/src/coordination/internal/shard_ownership.h
+++ b/src/coordination/internal/shard_ownership.h
@@ -41,9 +41,16 @@
   NodeRef handover_source;
   SteadyTime next_request{};
   WallTime doubt_until{};
+  /// This process has decided for the shard, in this ownership or an earlier one.
+  bool has_decided = false;
   /// For released shards: this sidecar was deciding with a live permit until it learnt of the
   /// release, so its claims are complete.
   bool authoritative = false;
+  /// For released shards: the first successor, which has lost the shard too. The claims become
+  /// authoritative again if it declines them. 0 if there is none.
+  NodeId undecided_successor = 0;
+  /// For released shards: the present owner has declined the claims.
+  bool is_declined = false;
 };
 
 /// Tracks which shards this sidecar owns and the phase of each takeover.
@@ -56,8 +63,13 @@
     /// Gained shards whose claims from an earlier ownership must be dropped.
     std::vector<ShardId> discarded;
     std::vector<ShardId> released;
+    /// Released shards for which this process has never decided.
+    std::vector<ShardId> declined;
   };
 
+  /// Handles a successor that has lost a released shard without having decided for it.
+  void OnDeclined(ShardId shard, NodeId successor);
+
   /// Updates the phases by comparing the view with the last table. `permit_end` is the end of the
   /// last decide permit that was granted under that table: until then no other process can have
   /// decided.
--- a/src/coordination/tests/coordinator_ownership_test.cpp
+++ b/src/coordination/tests/coordinator_ownership_test.cpp
@@ -20,6 +20,22 @@
     Publish();
   }
 
+  void Drain(const std::string& name) {
+    for (Member& member : m_row.members) {
+      if (member.name == name) member.state = MemberState::kDraining;
+    }
+    Publish();
+  }
+
+  /// Receivers of the messages that decline the shard.
+  std::vector<NodeRef> DeclinedTo(ShardId shard) {
+    std::vector<NodeRef> receivers;
+    for (const auto& [to, ack] : Sent<HandoverAck>()) {
+      if (ack.declined && ack.shard == shard) receivers.push_back(to);
+    }
+    return receivers;
+  }
+
   NodeRef FormerOwnerOf(const JobKey& key) {
     return m_table.RefOf(Placement::NextInRank(m_table, ShardOf(key), self().id));
   }
@@ -82,6 +98,27 @@
   BOOST_TEST(Sent<JobReply>().size() == 2U);
 }
 
+// Guards against outcome_unknown after two planned stops: the former owner has to learn that this
+// sidecar lost the shard again without having decided.
+BOOST_AUTO_TEST_CASE(a_shard_that_is_lost_before_its_handover_is_declined) {
+  Join();
+  const JobKey key = KeyOwnedBy("s1");
+  const NodeRef former = FormerOwnerOf(key);
+  Drain("s1");
+  BOOST_TEST((DeclinedTo(ShardOf(key)) == std::vector<NodeRef>{former}));
+}
+
+// Guards against two owners that decide on the same claims: one that has decided must not decline.
+BOOST_AUTO_TEST_CASE(a_shard_that_was_decided_for_is_not_declined) {
+  Join();
+  const JobKey key = KeyOwnedBy("s1");
+  Receive(FormerOwnerOf(key),
+          Handover{ShardOf(key), m_table.version(), true, std::nullopt, true, {}});
+  BOOST_TEST(coordinator().owned_shards() == 1U);
+  Drain("s1");
+  BOOST_TEST(DeclinedTo(ShardOf(key)).empty());
+}
+
 // Guards against accepting "never started" while the executor may still accept a dispatch of the
 // former owner.
 BOOST_AUTO_TEST_CASE(never_started_counts_only_after_old_versions_lapsed) {
@@ -377,6 +414,30 @@
   BOOST_TEST(coordinator().claims() == 0U);
 }
 
+// Guards against outcome_unknown when two sidecars leave by plan one after the other: the first
+// successor has lost the shard before it took over the claims.
+BOOST_AUTO_TEST_CASE(claims_go_to_the_second_successor_when_the_first_declines) {
+  const JobKey key = KeyThatMovesTo("s5");
+  Forward(Job(key));
+  Publish();
+  for (Member& member : m_row.members) {
+    if (member.name == "s1" || member.name == "s5") member.state = MemberState::kDraining;
+  }
+  Publish();
+  const NodeRef second = m_table.RefOf(m_placement.OwnerOf(ShardOf(key)));
+  BOOST_REQUIRE(second != Ref("s1"));
+  BOOST_REQUIRE(second != Ref("s5"));
+  // Until the first successor has declined, it may have decided.
+  Receive(second, HandoverRequest{m_table.version(), {ShardOf(key)}});
+  BOOST_TEST(Sent<Handover>().empty());
+  Receive(Ref("s5"), HandoverAck{ShardOf(key), m_table.version(), true});
+  const auto handovers = Sent<Handover>();
+  BOOST_REQUIRE_EQUAL(handovers.size(), 1U);
+  BOOST_TEST((handovers[0].first == second));
+  BOOST_TEST(handovers[0].second.authoritative);
+  BOOST_TEST(handovers[0].second.claims.size() == 1U);
+}
+
 // Guards against treating the claims of a paused coordinator as complete: another sidecar may have
 // decided after its permit expired.
 BOOST_AUTO_TEST_CASE(paused_owner_has_no_authority) {
--- a/src/model/messages.h
+++ b/src/model/messages.h
@@ -357,6 +357,9 @@
 struct HandoverAck {
   ShardId shard = 0;
   Version members_version = 0;
+  /// The sender has lost the shard again without having decided for it, and will not take over
+  /// these claims: the former owner's claims are still complete.
+  bool declined = false;
 
   friend bool operator==(const HandoverAck&, const HandoverAck&) = default;
 };
--- a/src/transport/internal/codec.cpp
+++ b/src/transport/internal/codec.cpp
@@ -394,7 +394,7 @@
   }
 
   fb::Offset<wire::HandoverAck> Put(const HandoverAck& m) {
-    return wire::CreateHandoverAck(builder, m.shard, m.members_version);
+    return wire::CreateHandoverAck(builder, m.shard, m.members_version, m.declined);
   }
 
   fb::Offset<wire::WrongIncarnation> Put(const WrongIncarnation& m) {
@@ -933,6 +933,7 @@
   void Get(const wire::HandoverAck& in, HandoverAck& out) {
     GetShard(in.shard(), out.shard);
     out.members_version = in.members_version();
+    out.declined = in.declined();
   }
 
   static void Get(const wire::Resources& in, Resources& out) {
--- a/src/transport/tests/codec_test.cpp
+++ b/src/transport/tests/codec_test.cpp
@@ -98,7 +98,7 @@
                     {{kTask, 1, Wall(2), StartState::kFinished, kOutcome}}},
       HandoverRequest{1, {2}},
       Handover{1, 2, true, Wall(0), false, {claim, ended}},
-      HandoverAck{1, 2},
+      HandoverAck{1, 2, true},
       WrongIncarnation{1},
       PlaceTasks{"job", 1, "payload", {2, 3, 4}, Ms(5), Ms(-6), Ms(7), {{8, 9, 10}, {11, 12, 13}}},
       WithdrawTasks{{1, 2}},
