--- a/src/dispatch/internal/worker_table.cpp
+++ b/src/dispatch/internal/worker_table.cpp
@@ -25,9 +25,9 @@
 /// documents 1.5 to 2.
 constexpr double kRemoteRackFactor = 1.5;
 
-/// Number of workers in an entry's subset: enough for the widest job of the users' sheets (32 tasks,
-/// at least two to a worker) and for a share of the work several times the mean. The more entries
-/// use a worker, the older each one's view of it.
+/// Number of workers in an entry's subset: enough for the widest job of the users' sheets (32
+/// tasks, at least two to a worker) and for a share of the work several times the mean. The more
+/// entries use a worker, the older each one's view of it.
 constexpr std::size_t kSubsetSize = 24;
 
 /// Workers borrowed at a time, how long each stays borrowed after its last use, and the pause in
