Ask the next presumed owner for its claims when the first one has none

Cause: when two sidecars leave one after the other, the second may have taken the shard over and decided for it, but the new owner asks only the one that ranks first, is told that it has no claims, and rebuilds them from evidence.

--- a/src/coordination/internal/coordinator_ownership.cpp
+++ b/src/coordination/internal/coordinator_ownership.cpp
@@ -254,7 +254,11 @@
     return m_counters->Add(CounterId::kMessagesStale);
   }
   if (!handover.authoritative) {
-    if (state.phase == ShardPhase::kAwaitingHandover) {
+    if (state.phase != ShardPhase::kAwaitingHandover) return;
+    // The presumed former owner may have handed the shard to one that is leaving too.
+    state.handover_source = m_ownership.NextHandoverSource(handover.shard, in.view);
+    state.next_request = in.now.steady;
+    if (state.handover_source.incarnation == 0) {
       m_ownership.SetPhase(handover.shard, ShardPhase::kAwaitingOldVersionExpiry);
     }
     return;
--- a/src/coordination/internal/shard_ownership.cpp
+++ b/src/coordination/internal/shard_ownership.cpp
@@ -25,6 +25,21 @@
   m_shards[shard].has_decided |= phase == ShardPhase::kDeciding;
 }
 
+NodeRef ShardOwnership::NextHandoverSource(ShardId shard, const ClusterView& view) const {
+  const std::uint64_t own = Placement::Score(shard, view.self.id);
+  const std::uint64_t bound = Placement::Score(shard, m_shards[shard].handover_source.id);
+  NodeRef next;
+  std::uint64_t best = own;
+  for (const Member& member : view.table.row().members) {
+    if (member.role != NodeRole::kSidecar) continue;
+    const std::uint64_t score = Placement::Score(shard, member.id);
+    if (score <= best || score >= bound) continue;
+    best = score;
+    next = {member.id, member.incarnation};
+  }
+  return next;
+}
+
 void ShardOwnership::OnDeclined(ShardId shard, NodeId successor) {
   ShardState& state = m_shards[shard];
   if (state.phase != ShardPhase::kReleased) return;
--- a/src/coordination/internal/shard_ownership.h
+++ b/src/coordination/internal/shard_ownership.h
@@ -67,6 +67,10 @@
     std::vector<ShardId> declined;
   };
 
+  /// The listed sidecar that follows the present handover source in rank and may have owned the
+  /// shard before this one: it ranks above this one. A null reference if there is none.
+  NodeRef NextHandoverSource(ShardId shard, const ClusterView& view) const;
+
   /// Handles a successor that has lost a released shard without having decided for it.
   void OnDeclined(ShardId shard, NodeId successor);
 
--- a/src/coordination/tests/coordinator_ownership_test.cpp
+++ b/src/coordination/tests/coordinator_ownership_test.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 
 #include "coordination/tests/coordinator_fixture.h"
@@ -27,6 +28,35 @@
     Publish();
   }
 
+  /// Sidecars that rank above the named one for the key's shard, the first in rank first.
+  std::vector<NodeRef> RankedAbove(const std::string& name, const JobKey& key) {
+    const ShardId shard = ShardOf(key);
+    std::vector<NodeRef> above;
+    for (const Member& member : m_table.row().members) {
+      if (member.role != NodeRole::kSidecar) continue;
+      if (Placement::Score(shard, member.id) <= Placement::Score(shard, NodeIdOf(name))) continue;
+      above.push_back({member.id, member.incarnation});
+    }
+    std::ranges::sort(above, std::greater<>(),
+                      [&](NodeRef node) { return Placement::Score(shard, node.id); });
+    return above;
+  }
+
+  /// Returns a key for whose shard s1 ranks third.
+  JobKey KeyRankedThird() {
+    for (int i = 0;; ++i) {
+      JobKey key{"team", "key-" + std::to_string(i)};
+      if (RankedAbove("s1", key).size() == 2) return key;
+    }
+  }
+
+  bool IsAsked(NodeRef node, ShardId shard) {
+    return std::ranges::any_of(Sent<HandoverRequest>(), [&](const auto& sent) {
+      return sent.first == node &&
+             std::ranges::find(sent.second.shards, shard) != sent.second.shards.end();
+    });
+  }
+
   /// Receivers of the messages that decline the shard.
   std::vector<NodeRef> DeclinedTo(ShardId shard) {
     std::vector<NodeRef> receivers;
@@ -119,6 +149,31 @@
   BOOST_TEST(DeclinedTo(ShardOf(key)).empty());
 }
 
+// Guards against outcome_unknown when two sidecars leave by plan one after the other: the one that
+// ranks first has handed the shard to the second, which has decided for it.
+BOOST_AUTO_TEST_CASE(the_second_presumed_owner_is_asked_after_the_first) {
+  Join();
+  const JobKey key = KeyRankedThird();
+  const std::vector<NodeRef> former = RankedAbove("s1", key);
+  BOOST_REQUIRE_GE(former.size(), 2U);
+  for (const NodeRef leaving : former) {
+    for (Member& member : m_row.members) {
+      if (member.id == leaving.id) member.state = MemberState::kDraining;
+    }
+  }
+  Publish();
+  const auto refusal = Handover{ShardOf(key), m_table.version(), false, std::nullopt, true, {}};
+  Sent<HandoverRequest>();
+  Receive(former[0], refusal);
+  AdvanceTime(500 * kMs);
+  BOOST_TEST(IsAsked(former[1], ShardOf(key)));
+  ClaimRecord record;
+  record.job = Job(key);
+  record.tasks = {{Ref("e9"), 40, std::nullopt}};
+  Receive(former[1], Handover{ShardOf(key), m_table.version(), true, std::nullopt, true, {record}});
+  BOOST_TEST(coordinator().owned_shards() == 1U);
+}
+
 // Guards against accepting "never started" while the executor may still accept a dispatch of the
 // former owner.
 BOOST_AUTO_TEST_CASE(never_started_counts_only_after_old_versions_lapsed) {
