--- a/src/dispatch/internal/document_text.cpp
+++ b/src/dispatch/internal/document_text.cpp
@@ -50,6 +50,7 @@
   const int status =
       RunToEnd(stream, compressed, [](z_stream& step) { return deflate(&step, Z_FINISH); });
   deflateEnd(&stream);
+  // Without compression the document is larger, but complete.
   if (status != Z_STREAM_END) return;
   document.text = std::move(compressed);
   document.is_compressed = true;
--- a/src/dispatch/report_schedule.h
+++ b/src/dispatch/report_schedule.h
@@ -31,8 +31,6 @@
   /// Time within which the next report to the entry is sent.
   std::chrono::milliseconds PeriodOf(NodeId entry, Now now) const;
 
-  void Forget(NodeId entry) { m_entries.erase(entry); }
-
  private:
   struct EntryState {
     bool is_wanted = false;
--- a/src/dispatch/tests/dispatch_load_test.cpp
+++ b/src/dispatch/tests/dispatch_load_test.cpp
@@ -134,8 +134,7 @@
   const LoadResult result = SimulateLoad(plan);
   Print("large", result);
   BOOST_TEST(ShareInObjective(result) >= kMinShareOfIdeal);
-  // Reports to each entry from each sidecar every 100 ms alone are 2,400 a second. An entry of 0.12
-  // cores has to have half of its processor free, at about 25 us a message and reply.
+  // Reports to each entry from each sidecar every 100 ms alone would be 2,400 a second.
   BOOST_TEST_MESSAGE("messages a second: to an entry " << result.entry_messages_per_second
                                                        << ", to a sidecar "
                                                        << result.worker_messages_per_second);
