Write CheckZones so that GCC on arm64 sees its time initialized

Cause: on arm64, GCC 12.2 at -O2 reports *out_since in CheckZones as maybe uninitialized, and -Werror stops the build of the tests. The value is never read before it is set. Change: a flag and an initialized time take the place of the optional. The check and its bound are the same.

--- a/src/node/tests/checkers.cpp
+++ b/src/node/tests/checkers.cpp
@@ -91,18 +91,20 @@
   // Invariant 3: no task starts in a zone later than kInForceLimit after the zone was taken out.
   void CheckZones() {
     for (const StartedEvent& start : m_history.started) {
-      std::optional<SteadyTime> out_since;
+      bool out = false;
+      SteadyTime out_since{};
       for (const ZoneStateEvent& event : m_history.zones) {
         if (event.zone != start.zone || event.at > start.at) continue;
         if (event.state == ZoneState::kIn) {
-          out_since.reset();
-        } else if (!out_since) {
+          out = false;
+        } else if (!out) {
+          out = true;
           out_since = event.at;
         }
       }
-      if (out_since && start.at - *out_since > kInForceLimit) {
+      if (out && start.at - out_since > kInForceLimit) {
         Report(3, Name(start.task.job) + " started in " + start.zone + " at " + Time(start.at) +
-                      ", taken out at " + Time(*out_since));
+                      ", taken out at " + Time(out_since));
       }
     }
   }
