--- a/review/lab/record.py
+++ b/review/lab/record.py
@@ -9,6 +9,7 @@
         self.active = {}  # task -> {(worker, run): begin}
         self.overlaps = []  # (task, first, second, begin of the second)
         self.ended = {}  # task -> list of (worker, run, how)
+        self.end_times = []
         self.begun = {}  # task -> list of (worker, run, spec, ms)
 
     def now(self):
@@ -31,9 +32,19 @@
     def end_run(self, worker, task, run, how):
         begin = self.active.get(task, {}).pop((worker, run), None)
         self.ended.setdefault(task, []).append((worker, run, how))
+        self.end_times.append((task, self.now()))
         self.add("run-end", worker=worker, task=task, run=run, how=how,
                  ms=f"{self.now() - begin:.0f}" if begin is not None else "-")
 
+    def late_ends(self, cancelled, slack_ms):
+        """Runs of cancelled jobs that ended later than `slack_ms` after the acknowledgement."""
+        late = []
+        for task, ended in self.end_times:
+            acknowledged = cancelled.get(task.split(".")[0])
+            if acknowledged is not None and ended > acknowledged + slack_ms:
+                late.append((task, acknowledged, ended))
+        return late
+
     def jobs_begun(self):
         return {task.split(".")[0] for task in self.begun}
 
