--- a/review/lab/store.py
+++ b/review/lab/store.py
@@ -7,6 +7,8 @@
 
 from lab.http import Server
 
+MAX_ROWS, MAX_BYTES = 500, 1_000_000
+
 
 class Store:
     def __init__(self, host, port, record):
@@ -44,6 +46,19 @@
             found.append(row)
         return found
 
+    @staticmethod
+    def page(rows, query):
+        """The rows of a range that one answer holds, and whether there are more."""
+        rows = [row for row in rows
+                if row["key"] >= query.get("from", "") and ("target" not in query or row["key"] < query["target"])]
+        limit, size, taken = min(int(query.get("limit", MAX_ROWS)), MAX_ROWS), 0, []
+        for row in rows:
+            size += len(row["value"])
+            if len(taken) == limit or size > MAX_BYTES:
+                return taken, True
+            taken.append(row)
+        return taken, False
+
     def answer(self, **fields):
         fields.update(ver=self.version, now_ms=int(time.monotonic() * 1000))
         return 200, fields
@@ -53,7 +68,9 @@
         url = urlsplit(target)
         query = {name: values[0] for name, values in parse_qs(url.query, keep_blank_values=True).items()}
         if method == "GET" and url.path == "/rows-get":
-            return self.answer(rows=self.select(query["table"], query.get("part", "")), has_more=False)
+            rows, has_more = self.page(self.select(query["table"], query.get("part", "")), query)
+            self.record.add("rows-get", table=query["table"], rows=len(rows), has_more=has_more)
+            return self.answer(rows=rows, has_more=has_more)
         if method == "GET" and url.path == "/rows-feed":
             after, table = int(query["after"]), query["table"]
             deadline = time.monotonic() + min(int(query.get("wait_ms", "0")), 30000) / 1000
