--- a/review/lab/fleet.py
+++ b/review/lab/fleet.py
@@ -144,13 +144,17 @@
 
     async def submit(self, job, entry, body, budget_ms=8000, host=HOST, prefix=PREFIX, attempts=2):
         """A client: sends a job, and sends it again to the next entry `resend_ms` after no answer or a broken channel,
-        or after 502 or 504. Returns the statuses; 0 is no answer."""
+        or after 502 or 504, while its time budget lasts. Returns the statuses; 0 is no answer."""
         statuses = []
+        end = self.record.now() + budget_ms
         for attempt in range(attempts):
             index = (entry + attempt) % len(self.entry_hosts)
-            self.record.add("client-send", job=job, attempt=attempt + 1, entry=f"entry-{index}")
+            left = int(end - self.record.now())
+            if left <= 0:
+                break
+            self.record.add("client-send", job=job, attempt=attempt + 1, entry=f"entry-{index}", deadline_ms=left)
             status, value = await call((self.entry_hosts[index], VIP), "POST", prefix + job,
-                                       {"Host": host, "Deadline-Ms": budget_ms}, body, budget_ms / 1000)
+                                       {"Host": host, "Deadline-Ms": left}, body, left / 1000)
             statuses.append(status)
             self.record.add("client-answer", job=job, attempt=attempt + 1, status=status,
                             state=(value or {}).get("state", "-") if isinstance(value, dict) else "-")
