--- a/review/lab/store.py
+++ b/review/lab/store.py
@@ -16,6 +16,7 @@
         self.version = 0
         self.rows = {}  # (table, part, key) -> (value, version, removed)
         self.changed = asyncio.Condition()
+        self.busy = False  # Answers every call with 503, which says that nothing was done.
         self.server = Server(host, port, self.handle)
 
     async def start(self):
@@ -65,6 +66,8 @@
 
     async def handle(self, method, target, headers, body):
         await asyncio.sleep(0.004)
+        if self.busy:
+            return 503, {}
         url = urlsplit(target)
         query = {name: values[0] for name, values in parse_qs(url.query, keep_blank_values=True).items()}
         if method == "GET" and url.path == "/rows-get":
