Report disconnected clients while the HTTP server stops

Cause: HttpServer reported OnClientDisconnected only while it was not stopping, so a stopping entry kept renewing the permits of jobs for which nobody waited.

Ruled out: permits and withdrawals, which do what they are told.

Only the connections that the stop itself closes at its end are not reported. The product's entry shares the server and the fix.

--- a/src/http/internal/server.cpp
+++ b/src/http/internal/server.cpp
@@ -180,6 +180,7 @@
 
  private:
   void CloseSessions() {
+    m_closing_sessions = true;
     const auto sessions = m_sessions;
     for (const SessionPtr& session : sessions) {
       Close(session);
@@ -236,7 +237,7 @@
   }
 
   /// Closes a session. Idempotent. If its request awaits a response, reports that the client has
-  /// disconnected, unless the server is stopping.
+  /// disconnected, unless the server itself closes all sessions.
   void Close(const SessionPtr& session) {
     const SessionState before = std::exchange(session->state, SessionState::kClosed);
     if (before == SessionState::kClosed) {
@@ -250,7 +251,7 @@
     if (session->rejected) {
       --m_rejected_sessions;
     }
-    if (before == SessionState::kWaiting && !m_stopping) {
+    if (before == SessionState::kWaiting && !m_closing_sessions) {
       ++m_clients_disconnected;
       m_handler.OnClientDisconnected(session->request);
     }
@@ -522,6 +523,7 @@
   std::size_t m_rejected_sessions = 0;
   HttpRequestId m_last_request = 0;
   bool m_stopping = false;
+  bool m_closing_sessions = false;
   bool m_keep_alive_disabled = false;
   /// Receives the discarded bytes of all lingering sessions.
   std::array<char, kDiscardBufferBytes> m_discard_buffer{};
--- a/src/http/tests/http_test.cpp
+++ b/src/http/tests/http_test.cpp
@@ -286,6 +286,32 @@
   BOOST_TEST(client.ReadToEnd().empty());
 }
 
+// Guards against work for a client that has left while the server stops: nobody stops it, and the
+// client may send its request elsewhere.
+BOOST_AUTO_TEST_CASE(a_disconnect_is_reported_while_the_server_stops) {
+  for (const bool is_reset : {false, true}) {
+    Recorder handler;
+    const auto server = Serve(handler);
+    RawClient idle(server->address());
+    RawClient client(server->address());
+    RawClient other(server->address());
+    client.Write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    BOOST_TEST_REQUIRE(handler.WaitForRequests(1));
+    other.Write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    BOOST_TEST_REQUIRE(handler.WaitForRequests(2));
+    server->BeginStop();
+    // The idle connection is closed by the stop, so the stop has begun.
+    BOOST_TEST(idle.ReadToEnd().empty());
+    if (is_reset) client.socket.set_option(asio::socket_base::linger(true, 0));
+    client.socket.close();
+    BOOST_TEST(handler.WaitFor([&] { return !handler.disconnected.empty(); }), is_reset);
+    BOOST_TEST(handler.disconnected.size() == 1U);
+    // Connections that the stop itself closes are not reported.
+    server->Stop(std::chrono::milliseconds(0));
+    BOOST_TEST(handler.disconnected.size() == 1U);
+  }
+}
+
 // Guards against a stop that aborts a request in progress (invariant 8) or accepts a new one.
 BOOST_AUTO_TEST_CASE(stop_finishes_requests_in_progress) {
   Recorder handler;
