Notice a client that closes after further bytes while it waits

A client that had sent more bytes than its request and then left was noticed only at the response, so its job ran on, and ran again elsewhere if it was submitted again.

Cause: unread bytes keep a socket readable, so no further event tells of the close behind them, and the server gave up watching.

Evidence: http_server/a_disconnect_after_further_bytes_is_reported timed out before.

Now the server polls such a connection for a close every 100 ms until the response. Connections without further bytes cost nothing.

--- a/src/http/internal/address.cpp
+++ b/src/http/internal/address.cpp
@@ -1,5 +1,6 @@
 #include "http/internal/address.h"
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <boost/asio/ip/address.hpp>
@@ -42,4 +43,9 @@
   return PeekResult::kClosed;
 }
 
+bool IsClosedByPeer(tcp::socket& socket) {
+  pollfd state{socket.native_handle(), POLLRDHUP, 0};
+  return ::poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 }  // namespace foxtailrudder::http_internal
--- a/src/http/internal/server.cpp
+++ b/src/http/internal/server.cpp
@@ -37,6 +37,7 @@
 /// Maximum number of connections over the limit that are sent a 503 response at the same time.
 /// Further ones are closed without a response.
 constexpr std::size_t kMaxRejectedSessions = 64;
+constexpr std::chrono::milliseconds kDisconnectCheckPeriod{100};
 constexpr std::size_t kDiscardBufferBytes = 16U << 10U;
 
 /// Problem details response (RFC 9457) to a request that did not reach the handler.
@@ -419,8 +420,7 @@
 
   HttpResponder MakeResponder(const SessionPtr& session);
 
-  /// Detects that the client closes the connection while its request awaits a response. If the
-  /// client has sent further bytes, a close after them is detected only after the response.
+  /// Detects that the client closes the connection while its request awaits a response.
   void WatchForDisconnect(const SessionPtr& session, HttpRequestId request) {
     session->socket.async_wait(tcp::socket::wait_read, [this, session, request](error_code error) {
       if (session->state != SessionState::kWaiting || session->request != request ||
@@ -432,6 +432,23 @@
         Close(session);
       } else if (peeked == PeekResult::kNothing) {
         WatchForDisconnect(session, request);
+      } else {
+        CheckForDisconnect(session, request);
+      }
+    });
+  }
+
+  /// Looks for a close behind bytes that stay unread until the response, for which no event tells.
+  void CheckForDisconnect(const SessionPtr& session, HttpRequestId request) {
+    session->timer.expires_after(kDisconnectCheckPeriod);
+    session->timer.async_wait([this, session, request](error_code error) {
+      if (error || session->state != SessionState::kWaiting || session->request != request) {
+        return;
+      }
+      if (http_internal::IsClosedByPeer(session->socket)) {
+        Close(session);
+      } else {
+        CheckForDisconnect(session, request);
       }
     });
   }
--- a/src/http/tests/http_test.cpp
+++ b/src/http/tests/http_test.cpp
@@ -312,6 +312,19 @@
   }
 }
 
+// Guards against work for a client that has left after it sent more bytes than its request.
+BOOST_AUTO_TEST_CASE(a_disconnect_after_further_bytes_is_reported) {
+  Recorder handler;
+  const auto server = Serve(handler);
+  RawClient client(server->address());
+  client.Write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  BOOST_TEST_REQUIRE(handler.WaitForRequests(1));
+  client.Write("GET /next HTTP/1.1\r\n");
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  client.socket.close();
+  BOOST_TEST(handler.WaitFor([&] { return !handler.disconnected.empty(); }));
+}
+
 // Guards against a stop that aborts a request in progress (invariant 8) or accepts a new one.
 BOOST_AUTO_TEST_CASE(stop_finishes_requests_in_progress) {
   Recorder handler;
