Keep a stopping entry running until its claims are released

What callers saw: a caller whose connection to a stopping entry broke sent its job to another entry after 1.3 s, and got no run for up to 0.95 s more.

Cause: the entry ended as soon as its last connection was closed. The ends of the withdrawn runs were not awaited, so the claim was never released and blocked the job until its lease was over.

Ruled out: a withdrawal that was not written (the run had ended).

The entry now ends when no claim is open for two ticks, and at the end of its grace period as before.

--- a/src/app/internal/dispatch_entry_app.cpp
+++ b/src/app/internal/dispatch_entry_app.cpp
@@ -309,11 +309,14 @@
   if (!m_stop_requested_at) return;
   const auto since = now.steady - *m_stop_requested_at;
   if (since >= kAcceptAfterStop && !std::exchange(m_accept_stopped, true)) m_callers->BeginStop();
-  const bool idle = m_accept_stopped && m_callers->counters().connections_open == 0 &&
-                    m_shared_jobs.attached_requests() == 0;
-  if (idle || since >= m_settings.stop_grace - kStopMargin) {
+  const bool is_idle = m_accept_stopped && m_callers->counters().connections_open == 0 &&
+                       m_shared_jobs.open_claims() == 0;
+  // The last messages are written before the next tick.
+  const bool was_idle = std::exchange(m_was_idle, is_idle);
+  if ((is_idle && was_idle) || since >= m_settings.stop_grace - kStopMargin) {
     log().Record(DecisionClass::kStateChange, "stop_done", {},
-                 {{"open_requests", static_cast<std::int64_t>(m_open_requests.size())}});
+                 {{"open_requests", static_cast<std::int64_t>(m_open_requests.size())},
+                  {"open_claims", static_cast<std::int64_t>(m_shared_jobs.open_claims())}});
     EndLoop(ExitStatus::kOk);
   }
 }
@@ -356,6 +359,8 @@
                   shared.claims_lapsed);
   page.AddCounter("jobs_undecided_total", "Jobs refused for want of a majority of witnesses",
                   shared.undecided);
+  page.AddGauge("attached_requests", "Requests of other entries that wait here",
+                static_cast<double>(m_shared_jobs.attached_requests()));
   page.AddGauge("open_claims", "Claims held or asked for",
                 static_cast<double>(m_shared_jobs.open_claims()));
   page.AddGauge("open_jobs", "Jobs in progress", static_cast<double>(m_dispatcher.open_jobs()));
--- a/src/app/internal/dispatch_entry_app.h
+++ b/src/app/internal/dispatch_entry_app.h
@@ -77,6 +77,7 @@
   bool m_was_ready = false;
   std::optional<SteadyTime> m_stop_requested_at;
   bool m_accept_stopped = false;
+  bool m_was_idle = false;
 };
 
 }  // namespace foxtailrudder
