Identify a job by the address of its queue and its ID

Cause: jobs were kept by path prefix and ID; the host that selects the queue was missing.

Evidence: job_joined for each second job. entry_dispatcher/jobs_with_one_id_in_two_queues_are_not_joined and shared_jobs/jobs_of_two_queues_with_one_id_run_one_after_the_other failed before.

Ruled out: a wrong queue for the request, crossed answers of the HTTP server.

The key is the queue's address, not the route's name or service, so a request after a renaming or a move still finds its job (shared_jobs/a_job_is_shared_also_when_its_queue_has_moved).

--- a/src/dispatch/dispatch_plan.h
+++ b/src/dispatch/dispatch_plan.h
@@ -27,7 +27,7 @@
 
   /// The address to which callers submit jobs; it identifies the queue in all versions of the
   /// configuration.
-  std::string address() const { return path_prefix; }
+  std::string address() const { return host + path_prefix; }
 };
 
 /// The operators' configuration of dispatch, as known to this process.
--- a/src/dispatch/tests/entry_dispatcher_test.cpp
+++ b/src/dispatch/tests/entry_dispatcher_test.cpp
@@ -184,6 +184,25 @@
   BOOST_TEST(out.answers[0].request == 2U);
 }
 
+// Guards against a caller that gets the end of another caller's job: two queues with the same path
+// prefix under two hosts, whose callers choose the same ID.
+BOOST_AUTO_TEST_CASE(jobs_with_one_id_in_two_queues_are_not_joined) {
+  ReceiveReport(kFirst, Report("w1", 64'000, 64'000));
+  queue.host = "gate.example";
+  Submit(1, Job("a", 1, 6'000, milliseconds(100)));
+  const auto gate = TakePlaced();
+  queue.host = "scales.example";
+  Submit(2, Job("a", 3, 6'000, milliseconds(100)));
+  const auto scales = TakePlaced();
+  BOOST_TEST_REQUIRE(gate.size() == 1);
+  BOOST_TEST_REQUIRE(scales.size() == 3);
+  End(kFirst, gate[0].second.order, TaskEnd::kDone);
+  BOOST_TEST_REQUIRE(out.answers.size() == 1);
+  BOOST_TEST(out.answers[0].request == 1U);
+  for (const auto& [sidecar, task] : scales) End(sidecar, task.order, TaskEnd::kDone);
+  BOOST_TEST(out.answers.size() == 2U);
+}
+
 // Guards against two runs of a task at the same time: a sidecar without contact may renew the run's
 // lease until the permit expires, and its endpoint continues the run until the lease expires.
 BOOST_AUTO_TEST_CASE(tasks_of_a_silent_worker_are_repeated_only_when_their_runs_are_over) {
--- a/src/dispatch/tests/shared_jobs_test.cpp
+++ b/src/dispatch/tests/shared_jobs_test.cpp
@@ -30,8 +30,6 @@
  public:
   World(std::uint32_t entries, std::uint32_t sidecars, std::uint64_t seed = 1) : m_random(seed) {
     m_queue.path_prefix = "/q/";
-    m_queue.host = "show.example";
-    m_queue.service = "show";
     m_queue.max_attempts = 3;
     m_queue.stretch = 2;
     m_queue.target_latency = milliseconds(2'000);
@@ -51,8 +49,12 @@
   };
 
   RequestId Submit(std::uint32_t entry, const std::string& id,
-                   milliseconds budget = milliseconds(9'000)) {
+                   const std::string& host = "show.example", const std::string& service = "show") {
+    constexpr milliseconds budget{9'000};
     const RequestId request = ++m_last_request;
+    QueuePlan queue = m_queue;
+    queue.host = host;
+    queue.service = service;
     m_requests[request] = {entry, id, std::nullopt, !m_entries[entry].jobs};
     DispatchJob job;
     job.id = id;
@@ -61,8 +63,8 @@
     step.demand = {1'000, 1, 0};
     step.expected_run = kRunTime;
     job.steps.push_back(step);
-    FromCaller(entry, [this, request, job, budget](Entry& e, DispatchOutputs& out) {
-      e.jobs->Submit(request, m_queue, job, m_now + budget, CurrentTime(), out);
+    FromCaller(entry, [this, request, queue, job, budget](Entry& e, DispatchOutputs& out) {
+      e.jobs->Submit(request, queue, job, m_now + budget, CurrentTime(), out);
     });
     return request;
   }
@@ -464,6 +466,36 @@
   BOOST_TEST(world.open_claims(0) + world.open_claims(1) == 0U);
 }
 
+// Guards against jobs of two queues with one ID that get each other's end, or that run at the same
+// time on endpoints that know tasks by the ID alone.
+BOOST_AUTO_TEST_CASE(jobs_of_two_queues_with_one_id_run_one_after_the_other) {
+  for (const std::uint32_t entry : {0U, 1U}) {
+    World world(2, 4);
+    const RequestId gate = world.Submit(0, "job", "gate.example");
+    world.RunFor(milliseconds(50));
+    const RequestId scales = world.Submit(entry, "job", "scales.example");
+    world.RunFor(kRunTime);
+    BOOST_TEST(IsCompleted(world.EndOf(gate)), entry);
+    BOOST_TEST(!world.EndOf(scales).has_value(), entry);
+    world.RunFor(milliseconds(1'000));
+    BOOST_TEST(IsCompleted(world.EndOf(scales)), entry);
+    BOOST_TEST(world.StartsOf("job") == 4U, entry);
+    BOOST_TEST(world.overlaps().empty());
+  }
+}
+
+// Guards against a second run of a job whose queue has been moved to another service meanwhile.
+BOOST_AUTO_TEST_CASE(a_job_is_shared_also_when_its_queue_has_moved) {
+  World world(2, 4);
+  const RequestId phone = world.Submit(0, "job");
+  world.RunFor(milliseconds(50));
+  const RequestId laptop = world.Submit(1, "job", "show.example", "other service");
+  world.RunFor(milliseconds(1'000));
+  BOOST_TEST(IsCompleted(world.EndOf(phone)));
+  BOOST_TEST(IsCompleted(world.EndOf(laptop)));
+  BOOST_TEST(world.StartsOf("job") == 2U);
+}
+
 // Guards against a job that waits for a witness that is lost, and against messages for each entry.
 BOOST_AUTO_TEST_CASE(one_device_pays_a_round_trip_and_messages_that_do_not_grow) {
   for (const std::uint32_t entries : {3U, 8U, 55U}) {
