Start no task beside one of the same name on an endpoint

Endpoints know tasks by the job's ID without the queue. A second task of that name with another attempt number was sent to the endpoint while the first ran there, and could have taken its end.

Cause: the sidecar compared whole runs, attempt included.

Evidence: worker_executor/a_task_is_not_started_beside_one_with_the_same_name failed before (a start was sent). Claims keep such jobs apart; this holds also when claims fail to.

--- a/src/dispatch/internal/worker_executor.cpp
+++ b/src/dispatch/internal/worker_executor.cpp
@@ -459,7 +459,7 @@
       item.received_at = now.steady;
       item.expires_at = now.steady + place.expires;
       if (m_early_withdrawals.erase({from.id, placed.order}) > 0 || !IsAccepting(now) ||
-          m_runs.contains(item.run)) {
+          RunsTaskOfName(item.run)) {
         Report(item, TaskEnd::kNotRun, now, milliseconds(0));
         continue;
       }
@@ -855,6 +855,14 @@
            now.steady <= found->second.permit_until;
   }
 
+  /// Whether any attempt of a task of this name is on the endpoint, which knows no two of one name.
+  /// Tasks of jobs with the same ID in different queues have the same names.
+  bool RunsTaskOfName(const RunId& run) const {
+    const auto next = m_runs.lower_bound({run.job, run.step, run.index, 0});
+    return next != m_runs.end() && next->first.job == run.job && next->first.step == run.step &&
+           next->first.index == run.index;
+  }
+
   bool HasTaskAlone() const {
     return std::ranges::any_of(m_runs, [](const auto& item) { return item.second.task.alone; }) ||
            std::ranges::any_of(m_queue, [](const auto& item) { return item.second.alone; });
@@ -879,7 +887,7 @@
       const Resources& demand = task.demand;
       const bool fits = demand.cpu_millicores <= free.cpu_millicores &&
                         demand.memory_mib <= free.memory_mib && demand.gpus <= free.gpus;
-      if (!fits || !HasPermit(task.entry, now) || m_runs.contains(task.run)) {
+      if (!fits || !HasPermit(task.entry, now) || RunsTaskOfName(task.run)) {
         ++item;
         continue;
       }
--- a/src/dispatch/tests/worker_executor_test.cpp
+++ b/src/dispatch/tests/worker_executor_test.cpp
@@ -572,6 +572,29 @@
   BOOST_TEST(CrashesSentTo(kEntry).size() == 1);
 }
 
+// Guards against two runs on one endpoint under one task name, and against a job that gets the end
+// of the other one: endpoints know tasks by the job's ID without its queue.
+BOOST_AUTO_TEST_CASE(a_task_is_not_started_beside_one_with_the_same_name) {
+  Begin();
+  Place(1, 6'000);
+  executor.OnStartAnswer(Run(1), StartAnswer::kStarted, now(), out);
+  ClearOutputs();
+  PlaceTasks place;
+  place.job = {"other queue", "job1"};
+  place.payload = "payload";
+  place.demand = {1'000, 1, 0};
+  place.expected_run = milliseconds(100);
+  place.latest_start = milliseconds(100);
+  place.expires = milliseconds(1'000);
+  place.tasks.push_back({2, 0, 2});
+  executor.OnMessage({kEntry, kSelf, place}, now(), out);
+  BOOST_TEST(out.starts.empty());
+  const auto reports = TakeReports();
+  BOOST_TEST_REQUIRE(reports.size() == 1);
+  BOOST_TEST(reports[0].order == 2U);
+  BOOST_TEST((reports[0].end == TaskEnd::kNotRun));
+}
+
 // Guards against a crash that is counted twice: the answer to a hold and the status both show the
 // new incarnation.
 BOOST_AUTO_TEST_CASE(a_crash_seen_in_two_ways_is_one_crash) {
