--- a/src/dispatch/tests/shared_jobs_test.cpp
+++ b/src/dispatch/tests/shared_jobs_test.cpp
@@ -50,7 +50,7 @@
 
   RequestId Submit(std::uint32_t entry, const std::string& id,
                    const std::string& host = "show.example", const std::string& service = "show") {
-    constexpr milliseconds budget{9'000};
+    static constexpr milliseconds kBudget{9'000};
     const RequestId request = ++m_last_request;
     QueuePlan queue = m_queue;
     queue.host = host;
@@ -63,8 +63,8 @@
     step.demand = {1'000, 1, 0};
     step.expected_run = kRunTime;
     job.steps.push_back(step);
-    FromCaller(entry, [this, request, queue, job, budget](Entry& e, DispatchOutputs& out) {
-      e.jobs->Submit(request, queue, job, m_now + budget, CurrentTime(), out);
+    FromCaller(entry, [this, request, queue, job](Entry& e, DispatchOutputs& out) {
+      e.jobs->Submit(request, queue, job, m_now + kBudget, CurrentTime(), out);
     });
     return request;
   }
