Raise a sidecar's fencing token after any refused command, and by the endpoint's clock

The token was the time of day in seconds at the start, so it was lower than the endpoint had seen, and it was raised only when a start was refused. A hold is refused for the same reason, without any effect, and nothing is started before a hold has been answered: the sidecar waited for ever.

--- a/src/app/dispatch_adapters.h
+++ b/src/app/dispatch_adapters.h
@@ -100,7 +100,7 @@
   virtual void Start(const StartRun& start, std::uint64_t fencing_token,
                      std::function<void(StartAnswer, std::string detail)> done) = 0;
   virtual void Stop(const StopRun& stop, std::uint64_t fencing_token,
-                    std::function<void(bool)> done) = 0;
+                    std::function<void(StopAnswer)> done) = 0;
   virtual void Hold(const HoldRuns& hold, std::uint64_t fencing_token,
                     std::function<void(HoldAnswer)> done) = 0;
 };
--- a/src/app/internal/dispatch_sidecar_app.cpp
+++ b/src/app/internal/dispatch_sidecar_app.cpp
@@ -17,15 +17,6 @@
 /// The process ends this long before the stop grace period is over.
 constexpr milliseconds kStopMargin{700};
 
-/// The fencing token starts as wall-clock seconds. If the endpoint has seen a higher one, the wall
-/// clock has been set back; raising the token by this many seconds soon exceeds it.
-constexpr std::uint64_t kFencingTokenStep = 60;
-
-std::uint64_t InitialFencingToken() {
-  const auto wall = ReadBootClocks().wall.time_since_epoch();
-  return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::seconds>(wall).count());
-}
-
 }  // namespace
 
 DispatchSidecarApp::DispatchSidecarApp(
@@ -36,7 +27,7 @@
       m_adapters(make_adapters(loop())),
       m_executor({self(), settings.max_run_lease}, log()),
       m_report_schedule(Random(MixHash(self().id, self().incarnation))),
-      m_fencing_token(InitialFencingToken()) {}
+      m_fencing_token(ReadBootClocks().wall) {}
 
 std::optional<Error> DispatchSidecarApp::Start(Now now) {
   HttpServerConfig config;
@@ -175,6 +166,7 @@
   responder.Respond(std::move(response));
   ExecutorOutputs out;
   if (auto* status = std::get_if<EndpointStatus>(&report)) {
+    m_fencing_token.OnStatus(*status);
     m_executor.OnEndpointStatus(std::move(*status), now, out);
     if (m_executor.has_endpoint()) {
       m_adapters.endpoint->SetIncarnation(m_executor.endpoint()->id);
@@ -192,21 +184,23 @@
 
 void DispatchSidecarApp::OnClientDisconnected(HttpRequestId /*request*/) {}
 
-void DispatchSidecarApp::OnTokenRejected(std::string_view detail) {
-  log().Record(DecisionClass::kAnomaly, "token_raised", {},
-               {{"detail", detail},
-                {"token", static_cast<std::int64_t>(m_fencing_token)},
-                {"step", static_cast<std::int64_t>(kFencingTokenStep)}});
-  m_fencing_token += kFencingTokenStep;
+void DispatchSidecarApp::OnTokenRefused(std::uint64_t token, std::string_view command) {
+  if (!m_fencing_token.OnRefused(token)) return;
+  ++m_raised_tokens;
+  log().Record(DecisionClass::kStateChange, "token_raised", {},
+               {{"command", command},
+                {"refused", static_cast<std::int64_t>(token)},
+                {"token", static_cast<std::int64_t>(m_fencing_token.value())}});
 }
 
 void DispatchSidecarApp::Perform(ExecutorOutputs& out) {
   Send(std::move(out.messages));
+  const std::uint64_t token = m_fencing_token.value();
   for (const StartRun& start : out.starts) {
     m_adapters.endpoint->Start(
-        start, m_fencing_token,
-        [this, name = start.run](StartAnswer answer, const std::string& detail) {
-          if (answer == StartAnswer::kFenced) OnTokenRejected(detail);
+        start, token,
+        [this, token, name = start.run](StartAnswer answer, const std::string& detail) {
+          if (answer == StartAnswer::kFenced) OnTokenRefused(token, "start");
           const bool good = answer == StartAnswer::kStarted;
           log().Record(good ? DecisionClass::kRoutine : DecisionClass::kAnomaly,
                        good ? "run_started" : "run_not_started", name.job,
@@ -220,19 +214,20 @@
         });
   }
   for (const StopRun& stop : out.stops) {
-    m_adapters.endpoint->Stop(stop, m_fencing_token, [this, name = stop.run](bool answered) {
+    m_adapters.endpoint->Stop(stop, token, [this, token, name = stop.run](StopAnswer answer) {
+      if (answer == StopAnswer::kFenced) OnTokenRefused(token, "stop");
       ExecutorOutputs after;
-      m_executor.OnStopAnswer(name, answered, ReadBootClocks(), after);
+      m_executor.OnStopAnswer(name, answer == StopAnswer::kAccepted, ReadBootClocks(), after);
       Perform(after);
     });
   }
   for (const HoldRuns& hold : out.holds) {
-    m_adapters.endpoint->Hold(hold, m_fencing_token,
-                              [this, id = hold.id](const HoldAnswer& answer) {
-                                ExecutorOutputs after;
-                                m_executor.OnHoldAnswer(id, answer, ReadBootClocks(), after);
-                                Perform(after);
-                              });
+    m_adapters.endpoint->Hold(hold, token, [this, token, id = hold.id](const HoldAnswer& answer) {
+      if (answer.is_fenced) OnTokenRefused(token, "hold");
+      ExecutorOutputs after;
+      m_executor.OnHoldAnswer(id, answer, ReadBootClocks(), after);
+      Perform(after);
+    });
   }
 }
 
@@ -250,6 +245,7 @@
   page.AddCounter("tasks_not_run_total", "Placements returned", counters.not_run);
   page.AddCounter("starts_no_room_total", "Starts refused for want of room",
                   counters.starts_no_room);
+  page.AddCounter("tokens_raised_total", "Fencing tokens raised after a refusal", m_raised_tokens);
   page.AddCounter("starts_fenced_total", "Starts refused for the token", counters.starts_fenced);
   page.AddCounter("starts_refused_total", "Starts refused otherwise", counters.starts_refused);
   page.AddCounter("starts_unanswered_total", "Starts without an answer",
--- a/src/app/internal/dispatch_sidecar_app.h
+++ b/src/app/internal/dispatch_sidecar_app.h
@@ -36,7 +36,7 @@
   void Perform(ExecutorOutputs& out);
   void SendDueReports(Now now);
   void DiscoverEntries(Now now);
-  void OnTokenRejected(std::string_view detail);
+  void OnTokenRefused(std::uint64_t token, std::string_view command);
   void OnClaims(NodeRef from, const ClaimJobs& claims, Now now);
   std::string Metrics() const;
 
@@ -50,7 +50,8 @@
   std::unique_ptr<PageHandler> m_metrics_handler;
   std::unique_ptr<HttpServer> m_metrics;
   /// Sent with every command; the endpoint rejects tokens lower than the highest it has seen.
-  std::uint64_t m_fencing_token = 0;
+  FencingToken m_fencing_token;
+  std::uint64_t m_raised_tokens = 0;
   std::uint64_t m_refused_reports = 0;
   SteadyTime m_next_expiry;
   SteadyTime m_next_entry_discovery;
--- a/src/dispatch/worker_executor.h
+++ b/src/dispatch/worker_executor.h
@@ -83,6 +83,14 @@
   kUnknown,
 };
 
+enum class StopAnswer : std::uint8_t {
+  kAccepted,
+  /// The endpoint has seen a higher fencing token and has not stopped the run.
+  kFenced,
+  /// No answer, or one that does not tell whether the run was stopped.
+  kUnknown,
+};
+
 enum class RunEnd : std::uint8_t { kDone, kFailed, kStopped, kLeaseExpired };
 
 struct RunningRun {
@@ -109,6 +117,8 @@
   bool other_incarnation = false;
   /// No process listens at the endpoint's address.
   bool no_listener = false;
+  /// The endpoint has seen a higher fencing token.
+  bool is_fenced = false;
 };
 
 struct ExecutorOutputs {
