--- a/src/app/dispatch_adapters.h
+++ b/src/app/dispatch_adapters.h
@@ -66,6 +66,8 @@
   AgreedState state;
   /// Version to pass to the next Watch().
   Version cursor = 0;
+  /// Number of rows that could not be read; they are left out of `state`.
+  std::uint32_t skipped_rows = 0;
   std::string detail;
 };
 
--- a/src/app/internal/state_watcher.cpp
+++ b/src/app/internal/state_watcher.cpp
@@ -63,6 +63,11 @@
                  {{"failures", static_cast<std::int64_t>(m_failures)}});
   }
   m_failures = 0;
+  if (read.skipped_rows > 0) {
+    m_log.Record(DecisionClass::kStateChange, "store_rows_skipped", {},
+                 {{"rows", static_cast<std::int64_t>(read.skipped_rows)},
+                  {"cursor", static_cast<std::int64_t>(read.cursor)}});
+  }
   // An outdated read must not move the cursor back.
   m_cursor = std::max(m_cursor, read.cursor);
   m_on_read(read);
