--- a/src/dispatch/tests/entry_dispatcher_test.cpp
+++ b/src/dispatch/tests/entry_dispatcher_test.cpp
@@ -664,7 +664,8 @@
 
 // Guards against jobs that are refused because of waiting work that does not come before them.
 BOOST_AUTO_TEST_CASE(the_forecast_counts_the_work_that_comes_first_by_priority) {
-  ReceiveReport(kFirst, Report("w1", 1'000, 0));
+  ReceiveReport(kFirst, Report("w1", 1'000, 1'000));
+  Submit(6, Job("running", 1, 1'000, milliseconds(100)));
   queue.target_latency = milliseconds(100);
   queue.priority = 2;
   for (RequestId i = 1; i <= 3; ++i) {
