--- a/src/app/internal/dispatch_sidecar_app.cpp
+++ b/src/app/internal/dispatch_sidecar_app.cpp
@@ -267,6 +267,10 @@
                   "Claims left undecided because too many are remembered", claims.undecided_full);
   page.AddGauge("claims", "Claims and outcomes remembered",
                 static_cast<double>(m_claim_witness.size()));
+  page.AddGauge("present_slowness", "Run time relative to the expected one, lately",
+                m_executor.present_slowness(ReadBootClocks()));
+  page.AddGauge("baseline_slowness", "Run time relative to the expected one, in the long run",
+                m_executor.baseline_slowness());
   page.AddGauge("running", "Runs on the endpoint", m_executor.running());
   page.AddGauge("queued", "Placements that wait for room", m_executor.queued());
   return page.Text({});
--- a/src/dispatch/internal/worker_executor.cpp
+++ b/src/dispatch/internal/worker_executor.cpp
@@ -361,6 +361,7 @@
   const EndpointStatus* endpoint() const { return m_endpoint ? &*m_endpoint : nullptr; }
   std::uint32_t running() const { return static_cast<std::uint32_t>(m_runs.size()); }
   std::uint32_t queued() const { return static_cast<std::uint32_t>(m_queue.size()); }
+  const WorkerSpeed& speed() const { return m_speed; }
   const WorkerExecutorCounters& counters() const { return m_counters; }
 
  private:
@@ -1058,6 +1059,8 @@
 const EndpointStatus* WorkerExecutor::endpoint() const { return m_impl->endpoint(); }
 std::uint32_t WorkerExecutor::running() const { return m_impl->running(); }
 std::uint32_t WorkerExecutor::queued() const { return m_impl->queued(); }
+double WorkerExecutor::present_slowness(Now now) const { return m_impl->speed().present(now); }
+double WorkerExecutor::baseline_slowness() const { return m_impl->speed().baseline(); }
 const WorkerExecutorCounters& WorkerExecutor::counters() const { return m_impl->counters(); }
 
 }  // namespace foxtailrudder
--- a/src/dispatch/worker_executor.h
+++ b/src/dispatch/worker_executor.h
@@ -189,6 +189,9 @@
   const EndpointStatus* endpoint() const;
   std::uint32_t running() const;
   std::uint32_t queued() const;
+  /// How long runs take relative to their expected run times: at present, and in the long run.
+  double present_slowness(Now now) const;
+  double baseline_slowness() const;
   const WorkerExecutorCounters& counters() const;
 
  private:
--- a/src/model/dispatch_messages.h
+++ b/src/model/dispatch_messages.h
@@ -171,15 +171,6 @@
   friend auto operator<=>(const WitnessInfo&, const WitnessInfo&) = default;
 };
 
-/// Work of one priority that waits for workers at an entry.
-struct WaitingWork {
-  std::uint32_t priority = 0;
-  /// Cores x milliseconds.
-  std::uint32_t core_ms = 0;
-
-  friend bool operator==(const WaitingWork&, const WaitingWork&) = default;
-};
-
 /// Entry to a sidecar in reply to a WorkerReport, and when it wants reports; and to every entry
 /// periodically.
 struct EntryReport {
@@ -208,8 +199,6 @@
   bool is_settled = false;
   /// To an entry: the digest of the receiver's list that the sender holds.
   std::uint64_t known_sidecars_digest = 0;
-  /// To an entry: the work that waits at the sender, by priority.
-  std::vector<WaitingWork> waiting;
 
   friend bool operator==(const EntryReport&, const EntryReport&) = default;
 };
--- a/src/transport/internal/codec.cpp
+++ b/src/transport/internal/codec.cpp
@@ -447,14 +447,10 @@
 
   fb::Offset<wire::EntryReport> Put(const EntryReport& m) {
     const auto entries = PutAll(m.entries);
-    std::vector<wire::WaitingWork> waiting;
-    waiting.reserve(m.waiting.size());
-    for (const WaitingWork& work : m.waiting) waiting.emplace_back(work.priority, work.core_ms);
-    return wire::CreateEntryReport(builder, ToNanoseconds(m.echoed), m.state_version,
-                                   m.reports_seen, entries, m.entries_digest, m.wants_reports,
-                                   m.next_within.count(), m.load_interval.count(),
-                                   PutAll(m.sidecars), m.sidecars_digest, m.is_settled,
-                                   m.known_sidecars_digest, builder.CreateVectorOfStructs(waiting));
+    return wire::CreateEntryReport(
+        builder, ToNanoseconds(m.echoed), m.state_version, m.reports_seen, entries,
+        m.entries_digest, m.wants_reports, m.next_within.count(), m.load_interval.count(),
+        PutAll(m.sidecars), m.sidecars_digest, m.is_settled, m.known_sidecars_digest);
   }
 
   fb::Offset<wire::WitnessInfo> Put(const WitnessInfo& witness) {
@@ -1072,9 +1068,6 @@
     out.sidecars_digest = in.sidecars_digest();
     out.is_settled = in.settled();
     out.known_sidecars_digest = in.known_sidecars_digest();
-    out.waiting.reserve(in.waiting()->size());
-    for (const auto* work : *in.waiting())
-      out.waiting.push_back({work->priority(), work->core_ms()});
   }
 
   void Get(const wire::WitnessInfo& in, WitnessInfo& out) {
