--- a/src/app/tests/state_watcher_test.cpp
+++ b/src/app/tests/state_watcher_test.cpp
@@ -25,12 +25,13 @@
   void ReadAll(SteadyTime deadline, std::function<void(StateRead)> done) override {
     ++reads;
     const bool is_lost = reads <= lost_reads;
-    Answer({StateReadStatus::kOk, true, {}, version, {}}, milliseconds(0), deadline, is_lost, done);
+    Answer({StateReadStatus::kOk, true, {}, version, 0, {}}, milliseconds(0), deadline, is_lost,
+           done);
   }
 
   void Watch(Version cursor, SteadyTime deadline, std::function<void(StateRead)> done) override {
     ++watches;
-    Answer({StateReadStatus::kOk, false, {}, cursor, {}}, milliseconds(1'000), deadline, false,
+    Answer({StateReadStatus::kOk, false, {}, cursor, 0, {}}, milliseconds(1'000), deadline, false,
            done);
   }
 
