--- a/src/dispatch/tests/entry_dispatcher_test.cpp
+++ b/src/dispatch/tests/entry_dispatcher_test.cpp
@@ -672,10 +672,10 @@
     Submit(i, Job("less" + std::to_string(i), 1, 1'000, milliseconds(50)));
   }
   queue.priority = 0;
-  Submit(4, Job("more", 1, 1'000, milliseconds(100)));
+  Submit(4, Job("more", 1, 1'000, milliseconds(60)));
   BOOST_TEST(dispatcher.counters().refused == 0U);
   queue.priority = 2;
-  Submit(5, Job("behind", 1, 1'000, milliseconds(100)));
+  Submit(5, Job("behind", 1, 1'000, milliseconds(60)));
   BOOST_TEST(dispatcher.counters().refused == 1U);
 }
 
