Refuse jobs by their callers' deadlines instead of the queue's objective

What callers saw: a caller with a second or more left was refused because the queue's objective of some 100 ms could not be met, and one that had waited for a quarter of the objective was held although it was known to be hopeless.

Cause: job_admission compared the forecast with the objective (stretch and target latency of the queue), and had a window in which a refusal was "timely", a wait of 0.4 of the time to the deadline and a limit of three objectives. None of them is the caller's.

Fix: one rule on arrival and while waiting. A job is refused when the work ahead of it, or the time that is left, lets it start too late to complete before its deadline, and not before. The factor for a sustained backlog goes too: what arrives ahead of a waiting job is counted when it arrives, by the review of each tick. While an entry has only just started, the few workers that it knows are no reason for a refusal.

The emulator no longer counts worth.

--- a/bench/dispatch_load.h
+++ b/bench/dispatch_load.h
@@ -31,21 +31,20 @@
 struct DispatchLoadRow {
   std::string kind;
   std::uint32_t submitted = 0;
+  /// Answered before the callers' deadlines, and those of them within the objective.
+  double completed = 0;
   double within_objective = 0;
-  double late = 0;
   double refused = 0;
 };
 
 struct DispatchLoadResult {
   std::vector<DispatchLoadRow> rows;
-  std::uint32_t refused_late = 0;
-  /// Worth earned by the completed jobs, of which late ones earn only a part, as a share of the
-  /// worth of all offered jobs.
-  double worth = 0;
+  /// Longest time for which a refused caller was held.
+  std::chrono::milliseconds longest_refusal{0};
   /// Messages a second to one entry and to one sidecar, on average.
   double entry_messages_per_second = 0;
   double sidecar_messages_per_second = 0;
-  /// Worth earned as a share of what the offline ideal earns.
+  /// Completed jobs as a share of what the best schedule completes before the deadlines.
   double of_ideal = 0;
 };
 
--- a/src/dispatch/internal/admission_forecast.cpp
+++ b/src/dispatch/internal/admission_forecast.cpp
@@ -22,10 +22,4 @@
   return std::chrono::milliseconds(static_cast<std::int64_t>(wait));
 }
 
-bool CanMeetObjective(std::chrono::milliseconds wait, std::chrono::milliseconds critical_path,
-                      std::chrono::milliseconds objective) {
-  // No tolerance: admitting jobs forecast to end up to 25% late makes more other jobs late.
-  return wait + critical_path <= objective;
-}
-
 }  // namespace foxtailrudder
--- a/src/dispatch/internal/admission_forecast.h
+++ b/src/dispatch/internal/admission_forecast.h
@@ -23,8 +23,4 @@
 /// committed.
 std::chrono::milliseconds ForecastWait(const ForecastInput& input);
 
-/// Whether a job is expected to complete within its objective.
-bool CanMeetObjective(std::chrono::milliseconds wait, std::chrono::milliseconds critical_path,
-                      std::chrono::milliseconds objective);
-
 }  // namespace foxtailrudder
--- a/src/dispatch/internal/entry_dispatcher.cpp
+++ b/src/dispatch/internal/entry_dispatcher.cpp
@@ -89,7 +89,9 @@
       out.answers.push_back({request, JobEnd::kFailed, ErrorKind::kTaskFailed, std::nullopt});
       return;
     }
-    const JobTimes times{job.received_at.value_or(now.steady), critical_path, objective};
+    const SteadyTime received_at = job.received_at.value_or(now.steady);
+    const SteadyTime due = received_at + objective;
+    const JobTimes times{critical_path, due - critical_path, deadline};
     if (const auto refusal = m_admission.CheckArrival(queue, job, times, m_waiting, now)) {
       ++m_counters.refused;
       out.answers.push_back({request, JobEnd::kRefused, refusal->reason, refusal->retry_after});
@@ -101,15 +103,15 @@
     state.sequence = ++m_last_sequence;
     state.queue = queue;
     state.requests.push_back(request);
-    state.submitted_at = times.received_at;
-    state.due = times.received_at + objective;
+    state.submitted_at = received_at;
+    state.due = due;
     state.deadline = deadline;
-    JobAdmission::SetWaitLimits(state, times);
     state.job = std::move(job);
     state.steps.resize(state.job.steps.size());
     for (std::size_t i = 0; i < state.steps.size(); ++i) {
       state.steps[i].tasks.resize(state.job.steps[i].count);
       state.steps[i].latest_start = state.due - critical_paths[i];
+      state.steps[i].last_useful_start = deadline - critical_paths[i];
     }
     m_request_jobs[request] = name;
     MarkSuspects(state);
--- a/src/dispatch/internal/job_admission.h
+++ b/src/dispatch/internal/job_admission.h
@@ -8,6 +8,7 @@
 #include "dispatch/internal/job_state.h"
 #include "dispatch/internal/receive_delay.h"
 #include "dispatch/internal/worker_table.h"
+#include "dispatch/timing.h"
 #include "model/decision_log.h"
 
 namespace foxtailrudder {
@@ -20,13 +21,16 @@
 
 /// What is known of a job before it is admitted.
 struct JobTimes {
-  SteadyTime received_at;
   std::chrono::milliseconds critical_path{0};
-  std::chrono::milliseconds objective{0};
+  /// By which the job must start to meet its objective.
+  SteadyTime latest_start;
+  /// Until when the caller waits for the answer.
+  SteadyTime deadline;
 };
 
-/// Decides which jobs an entry takes and which of the waiting ones it gives up: a job is refused as
-/// soon as it is forecast to miss its objective, while a refusal is still of use to its caller.
+/// Decides which jobs an entry takes and which of the waiting ones it gives up. A job is refused
+/// when it is forecast to complete after its deadline, and not before: its caller learns at once
+/// that it cannot be served, and waits while it can be.
 class JobAdmission {
  public:
   JobAdmission(WorkerTable& workers, const ReceiveDelay& receive_delay, DecisionLog& log)
@@ -36,19 +40,14 @@
   void OnStarted(Now now);
   void SetPlanVersion(Version version) { m_plan_version = version; }
 
-  /// Sets until when a job can be refused in time and how long it waits for capacity.
-  static void SetWaitLimits(JobState& job, const JobTimes& times);
-
-  /// Returns the refusal of a job that cannot run or cannot complete in time.
+  /// Returns the refusal of a job that cannot run or cannot complete before its deadline.
   std::optional<AdmissionRefusal> CheckArrival(const QueuePlan& queue, const DispatchJob& job,
                                                const JobTimes& times, const WaitingSteps& waiting,
                                                Now now);
 
   /// Reviews the waiting jobs of which no task has started, given what has arrived since, and
-  /// returns those that can no longer meet their objective, so that the capacity is left to others.
-  /// Once a refusal would be too late, a job keeps waiting as long as a late answer is worth
-  /// something.
-  std::vector<JobState*> Review(WaitingSteps& waiting, Now now);
+  /// returns those that can no longer complete before their deadline.
+  std::vector<JobState*> Review(const WaitingSteps& waiting, Now now);
 
  private:
   /// Work that waits for the workers of one service, and their capacity.
@@ -57,11 +56,12 @@
     double millicore_ms = 0;
   };
 
-  bool ShouldRefuse(const JobState& job, SteadyTime latest_start, const Backlog& backlog,
-                    Now now) const;
-  std::chrono::milliseconds ForecastWaitBehind(const Backlog& backlog, Now now) const;
-  void RecordRefusalOfWaiting(const JobState& job, SteadyTime latest_start, const Backlog& backlog,
-                              Now now);
+  bool IsStarting(Now now) const { return now.steady - m_started_at <= kStartupGracePeriod; }
+  /// Whether a step that waits behind the backlog starts too late to be of use.
+  bool IsHopeless(const Backlog& backlog, SteadyTime last_useful_start, Now now) const;
+  static std::chrono::milliseconds ForecastWaitBehind(const Backlog& backlog);
+  void RecordRefusalOfWaiting(const JobState& job, SteadyTime last_useful_start,
+                              const Backlog& backlog, Now now);
   std::chrono::milliseconds ReceiveDelayOfRequests() const;
 
   WorkerTable& m_workers;
@@ -70,8 +70,6 @@
   /// For the log: which configuration decided on a request.
   Version m_plan_version = 0;
   SteadyTime m_started_at;
-  /// Start of the present backlog; the time of the last review if no task was waiting then.
-  SteadyTime m_backlog_since;
 };
 
 /// Requirements of a task of the step; `avoid` is the worker of its last attempt or 0.
--- a/src/dispatch/internal/job_state.h
+++ b/src/dispatch/internal/job_state.h
@@ -35,7 +35,10 @@
   std::vector<TaskProgress> tasks;
   std::uint32_t done = 0;
   bool released = false;
+  /// By which the step must start to meet the objective; the order of waiting steps.
   SteadyTime latest_start;
+  /// After this time the job is no longer expected to complete before its callers stop waiting.
+  SteadyTime last_useful_start;
   /// Number of the step's tasks placed on each worker.
   std::map<NodeId, std::uint32_t> tasks_per_worker;
 };
@@ -48,10 +51,7 @@
   std::vector<RequestId> requests;
   SteadyTime submitted_at;
   SteadyTime due;
-  /// End of the time in which a refusal is timely.
-  SteadyTime refusal_timely_until;
-  /// Latest time until which the job waits to be started, even if it will complete late.
-  SteadyTime wait_until;
+  /// Until when the caller waits for the answer.
   SteadyTime deadline;
   std::vector<StepState> steps;
   /// A placement has ended with a result other than "not run".
