Serve waiting jobs by priority and by their callers' deadlines

What callers saw: whoever had waited longer than the queue's objective went behind everyone who had just come, and an urgent job could wait 150 ms behind less urgent ones. The same callers with the same time were served in another order when the operators wrote another objective.

Cause: the order was the latest start for the objective, delayed by 150 ms ("about the shortest objective") for each priority, and jobs that could still meet their objective came before all others.

A start that an endpoint refused for lack of room keeps its place in the queue. The objective is left as a measure in job_answered. With waits of seconds, the forecast counts on the entry's share of the capacity over the last second; the share at one moment made it refuse callers whom the capacity would have served.

Evidence, on the code before: the_objective_of_a_queue_decides_nothing, the_objective_changes_no_decision (objectives x0.5 and x4), the_job_whose_caller_runs_out_of_time_first_comes_first, the_forecast_counts_the_work_that_comes_first_by_priority and what_cannot_be_served_is_refused_at_once failed.

--- a/src/dispatch/internal/admission_forecast.cpp
+++ b/src/dispatch/internal/admission_forecast.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/internal/admission_forecast.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace foxtailrudder {
 namespace {
@@ -8,18 +9,27 @@
 /// Minimum share of freed capacity; an entry that has placed no tasks yet gets some too.
 constexpr double kMinShare = 0.1;
 
+/// Time constant of the tracked share: most tasks last up to a second.
+constexpr std::chrono::duration<double> kShareMemory{1.0};
+
 }  // namespace
 
 std::chrono::milliseconds ForecastWait(const ForecastInput& input) {
   if (input.ahead_millicore_ms <= 0 || input.capacity_millicores <= 0) {
     return std::chrono::milliseconds(0);
   }
-  double share = 1.0;
-  if (input.committed_millicores > 0) {
-    share = std::clamp(input.own_millicores / input.committed_millicores, kMinShare, 1.0);
-  }
+  const double share = std::clamp(input.own_share, kMinShare, 1.0);
   const double wait = input.ahead_millicore_ms / (input.capacity_millicores * share);
   return std::chrono::milliseconds(static_cast<std::int64_t>(wait));
 }
 
+void OwnShare::Update(double own, double committed, SteadyTime now) {
+  if (committed <= 0) return;
+  const double present = std::min(own / committed, 1.0);
+  const std::chrono::duration<double> passed = now - m_updated_at.value_or(now);
+  const double weight = m_updated_at ? 1 - std::exp(-passed / kShareMemory) : 1;
+  m_share += weight * (present - m_share);
+  m_updated_at = now;
+}
+
 }  // namespace foxtailrudder
--- a/src/dispatch/internal/admission_forecast.h
+++ b/src/dispatch/internal/admission_forecast.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <chrono>
-#include <cstdint>
+#include <optional>
+
+#include "model/time.h"
 
 namespace foxtailrudder {
 
@@ -12,9 +14,8 @@
   double ahead_millicore_ms = 0;
   /// Capacity of the workers that accept work.
   double capacity_millicores = 0;
-  /// Committed millicores of those workers: by all entries, and by this one.
-  double committed_millicores = 0;
-  double own_millicores = 0;
+  /// Share of what is committed there that this entry's orders hold.
+  double own_share = 1;
 };
 
 /// Returns the expected wait until the last task of a new job starts; zero if no work is waiting.
@@ -23,4 +24,18 @@
 /// committed.
 std::chrono::milliseconds ForecastWait(const ForecastInput& input);
 
+/// Tracks which share of the committed capacity of a service this entry's orders hold. The share at
+/// one moment says little about the next second: it follows the ends of single jobs.
+class OwnShare {
+ public:
+  /// Records the present commitments; `committed` includes `own`.
+  void Update(double own, double committed, SteadyTime now);
+  /// 1 until anything has been committed.
+  double value() const { return m_share; }
+
+ private:
+  double m_share = 1;
+  std::optional<SteadyTime> m_updated_at;
+};
+
 }  // namespace foxtailrudder
--- a/src/dispatch/internal/entry_dispatcher.cpp
+++ b/src/dispatch/internal/entry_dispatcher.cpp
@@ -34,8 +34,7 @@
 /// than the worker may be slow, and would never complete if it were restarted again and again.
 constexpr std::uint32_t kStalledTaskRunFactor = 8;
 
-/// A last attempt waits for a worker with recent successes for this long, or longer while its job
-/// can still meet its objective. A failed job is worth nothing, a late one something.
+/// A last attempt waits for a worker with recent successes for this long.
 constexpr milliseconds kProvenWorkerWait{200};
 
 /// A worker is removed after this long without contact.
@@ -90,8 +89,7 @@
       return;
     }
     const SteadyTime received_at = job.received_at.value_or(now.steady);
-    const SteadyTime due = received_at + objective;
-    const JobTimes times{critical_path, due - critical_path, deadline};
+    const JobTimes times{critical_path, deadline};
     if (const auto refusal = m_admission.CheckArrival(queue, job, times, m_waiting, now)) {
       ++m_counters.refused;
       out.answers.push_back({request, JobEnd::kRefused, refusal->reason, refusal->retry_after});
@@ -104,14 +102,13 @@
     state.queue = queue;
     state.requests.push_back(request);
     state.submitted_at = received_at;
-    state.due = due;
+    state.objective_end = received_at + objective;
     state.deadline = deadline;
     state.job = std::move(job);
     state.steps.resize(state.job.steps.size());
     for (std::size_t i = 0; i < state.steps.size(); ++i) {
       state.steps[i].tasks.resize(state.job.steps[i].count);
-      state.steps[i].latest_start = state.due - critical_paths[i];
-      state.steps[i].last_useful_start = deadline - critical_paths[i];
+      state.steps[i].latest_start = deadline - critical_paths[i];
     }
     m_request_jobs[request] = name;
     MarkSuspects(state);
@@ -121,7 +118,6 @@
                   {"plan", static_cast<std::int64_t>(m_plan_version)},
                   {"tasks", static_cast<std::int64_t>(state.job.steps[0].count)},
                   {"expected_ms", critical_path.count()},
-                  {"objective_ms", objective.count()},
                   {"deadline_ms", Ms(deadline - now.steady).count()}});
     ReleaseSteps(state);
     Dispatch(now, out);
@@ -411,13 +407,18 @@
     waiting.tasks.push_back(index);
   }
 
-  /// Places waiting tasks while there is free capacity: first the steps that can still meet their
-  /// objective, in their order, then the others, so that a late job does not delay one that is on
-  /// time.
+  /// Places waiting tasks in their order while there is free capacity.
   void Dispatch(Now now, DispatchOutputs& out) {
-    if (m_waiting.empty()) return;
+    /// Service and required label for which there is none.
     std::set<std::pair<std::string, std::string>> full_kinds;
-    for (const bool late : {false, true}) DispatchSteps(late, full_kinds, now, out);
+    for (auto next = m_waiting.begin(); next != m_waiting.end();) {
+      WaitingStep& waiting = next->second;
+      const JobStep& step = waiting.job->job.steps[waiting.step];
+      std::pair<std::string, std::string> kind(waiting.job->queue.service, step.required_label);
+      if (!full_kinds.contains(kind) && !Place(waiting, now, out))
+        full_kinds.insert(std::move(kind));
+      next = waiting.tasks.empty() ? m_waiting.erase(next) : std::next(next);
+    }
   }
 
   void RequestReports(DispatchOutputs& out) {
@@ -438,22 +439,6 @@
     RequestReports(out);
   }
 
-  void DispatchSteps(bool late, std::set<std::pair<std::string, std::string>>& full_kinds, Now now,
-                     DispatchOutputs& out) {
-    for (auto next = m_waiting.begin(); next != m_waiting.end();) {
-      WaitingStep& waiting = next->second;
-      if ((waiting.job->steps[waiting.step].latest_start < now.steady) != late) {
-        ++next;
-        continue;
-      }
-      const JobStep& step = waiting.job->job.steps[waiting.step];
-      std::pair<std::string, std::string> kind(waiting.job->queue.service, step.required_label);
-      if (!full_kinds.contains(kind) && !Place(waiting, now, out))
-        full_kinds.insert(std::move(kind));
-      next = waiting.tasks.empty() ? m_waiting.erase(next) : std::next(next);
-    }
-  }
-
   /// Whether the job fails if the next attempt of the task does, although an earlier one failed
   /// where another worker may not.
   static bool NeedsProvenWorker(const JobState& job, const TaskProgress& task) {
@@ -467,7 +452,7 @@
     const auto chosen = m_workers.Choose(requirements, max_per_worker, state.tasks_per_worker, now);
     if (chosen || !requirements.needs_proven_worker) return chosen;
     if (!task.wait_for_proven_until) {
-      task.wait_for_proven_until = std::max(now.steady + kProvenWorkerWait, state.latest_start);
+      task.wait_for_proven_until = now.steady + kProvenWorkerWait;
       ++m_counters.last_attempts_waited;
     }
     if (now.steady < *task.wait_for_proven_until && m_workers.HasProvenWorker(requirements, now))
@@ -496,7 +481,7 @@
       TaskProgress& task = state.tasks[index];
       TaskRequirements requirements = RequirementsOf(job.queue, step, task.avoid);
       requirements.needs_proven_worker = NeedsProvenWorker(job, task);
-      requirements.due = job.due;
+      requirements.due = job.deadline;
       std::optional<NodeId> chosen;
       if (task.is_suspect) {
         chosen = m_workers.ChooseQuarantined(requirements, step.max_per_worker,
@@ -535,7 +520,8 @@
       placement.step = waiting.step;
       placement.payload = job.job.payload;
       placement.demand = step.demand;
-      placement.latest_start = Ms(OrderTime(job.queue, state.latest_start) - now.steady);
+      placement.priority = job.queue.priority;
+      placement.latest_start = Ms(state.latest_start - now.steady);
       placement.expires = std::min(placement.alone ? kAlonePlacementExpiry : kPlacementExpiry,
                                    Ms(job.deadline - now.steady));
       const WorkerRecord& worker = *m_workers.Find(target.first);
@@ -672,7 +658,8 @@
         {{"outcome", succeeded ? std::string_view("completed") : ErrorAnswerOf(reason).name},
          {"queue", job.queue.name},
          {"took_ms", Ms(now.steady - job.submitted_at).count()},
-         {"objective_ms", Ms(job.due - job.submitted_at).count()}});
+         {"deadline_ms", Ms(job.deadline - now.steady).count()},
+         {"objective_ms", Ms(job.objective_end - job.submitted_at).count()}});
     for (const RequestId request : job.requests) {
       out.answers.push_back({request, end, reason, retry_after});
       m_request_jobs.erase(request);
--- a/src/dispatch/internal/job_admission.cpp
+++ b/src/dispatch/internal/job_admission.cpp
@@ -27,13 +27,12 @@
          static_cast<double>(step.expected_run.count());
 }
 
-/// Work of the waiting tasks that come before a step with this order time, in millicores x
-/// milliseconds.
-double MillicoreMsAhead(const WaitingSteps& steps, SteadyTime order_time) {
+/// Work of the waiting tasks of a service that come before a new job, in millicores x milliseconds.
+double MillicoreMsAhead(const WaitingSteps& steps, std::string_view service, const WaitKey& job) {
   double ahead = 0;
   for (const auto& [key, waiting] : steps) {
-    if (std::get<0>(key) > order_time) break;
-    ahead += MillicoreMsOf(waiting);
+    if (key > job) break;
+    if (waiting.job->queue.service == service) ahead += MillicoreMsOf(waiting);
   }
   return ahead;
 }
@@ -51,13 +50,18 @@
     JobState& job = *waiting.job;
     auto [found, is_new] = backlogs.try_emplace(job.queue.service);
     Backlog& backlog = found->second;
-    if (is_new) backlog.capacity = m_workers.CapacityOf(job.queue.service, now);
+    if (is_new) {
+      backlog = BacklogOf(job.queue.service, now);
+      m_own_shares[job.queue.service].Update(static_cast<double>(backlog.capacity.own),
+                                             static_cast<double>(backlog.capacity.committed),
+                                             now.steady);
+    }
     // Several steps of one job may be waiting.
     if (std::ranges::find(refused, &job) != refused.end()) continue;
-    const SteadyTime last_useful_start = job.steps[waiting.step].last_useful_start;
-    if (!job.may_have_run() && IsHopeless(backlog, last_useful_start, now)) {
+    const SteadyTime latest_start = job.steps[waiting.step].latest_start;
+    if (!job.may_have_run() && IsHopeless(backlog, latest_start, now)) {
       refused.push_back(&job);
-      RecordRefusalOfWaiting(job, last_useful_start, backlog, now);
+      RecordRefusalOfWaiting(job, latest_start, backlog, now);
       continue;
     }
     backlog.millicore_ms += MillicoreMsOf(waiting);
@@ -65,27 +69,32 @@
   return refused;
 }
 
-bool JobAdmission::IsHopeless(const Backlog& backlog, SteadyTime last_useful_start, Now now) const {
-  if (now.steady > last_useful_start) return true;
+bool JobAdmission::IsHopeless(const Backlog& backlog, SteadyTime latest_start, Now now) const {
+  if (now.steady > latest_start) return true;
   // The workers known so far say little about the capacity.
   if (IsStarting(now)) return false;
   if (backlog.capacity.workers == 0) return true;
-  return now.steady + ForecastWaitBehind(backlog) > last_useful_start;
+  return now.steady + ForecastWaitBehind(backlog) > latest_start;
 }
 
 milliseconds JobAdmission::ForecastWaitBehind(const Backlog& backlog) {
-  return ForecastWait({backlog.millicore_ms, static_cast<double>(backlog.capacity.total),
-                       static_cast<double>(backlog.capacity.committed),
-                       static_cast<double>(backlog.capacity.own)});
+  return ForecastWait(
+      {backlog.millicore_ms, static_cast<double>(backlog.capacity.total), backlog.own_share});
+}
+
+JobAdmission::Backlog JobAdmission::BacklogOf(const std::string& service, Now now) const {
+  const auto share = m_own_shares.find(service);
+  return {m_workers.CapacityOf(service, now),
+          share == m_own_shares.end() ? 1 : share->second.value(), 0};
 }
 
-void JobAdmission::RecordRefusalOfWaiting(const JobState& job, SteadyTime last_useful_start,
+void JobAdmission::RecordRefusalOfWaiting(const JobState& job, SteadyTime latest_start,
                                           const Backlog& backlog, Now now) {
   m_log.Record(DecisionClass::kAnomaly, "job_hopeless", job.job.id,
                {{"queue", job.queue.name},
                 {"waited_ms", Ms(now.steady - job.submitted_at).count()},
                 {"wait_ms", ForecastWaitBehind(backlog).count()},
-                {"left_ms", Ms(last_useful_start - now.steady).count()},
+                {"left_ms", Ms(latest_start - now.steady).count()},
                 {"deadline_ms", Ms(job.deadline - now.steady).count()},
                 {"workers", static_cast<std::int64_t>(backlog.capacity.workers)},
                 {"capacity", static_cast<std::int64_t>(backlog.capacity.total)},
@@ -98,11 +107,12 @@
                                                            const WaitingSteps& waiting, Now now) {
   std::optional<ErrorKind> reason;
   milliseconds retry_after = kDefaultRetryAfter;
-  const SteadyTime last_useful_start = times.deadline - times.critical_path;
-  Backlog backlog{m_workers.CapacityOf(queue.service, now),
-                  MillicoreMsAhead(waiting, OrderTime(queue, times.latest_start))};
+  const SteadyTime latest_start = times.deadline - times.critical_path;
+  const WaitKey key{queue.priority, latest_start, UINT64_MAX, 0};
+  Backlog backlog = BacklogOf(queue.service, now);
+  backlog.millicore_ms = MillicoreMsAhead(waiting, queue.service, key);
   const milliseconds wait = ForecastWaitBehind(backlog) + ReceiveDelayOfRequests();
-  if (IsHopeless(backlog, last_useful_start - ReceiveDelayOfRequests(), now)) {
+  if (IsHopeless(backlog, latest_start - ReceiveDelayOfRequests(), now)) {
     reason = ErrorKind::kDeadlineUnreachable;
     retry_after = std::max(kDefaultRetryAfter, wait);
   }
--- a/src/dispatch/internal/job_admission.h
+++ b/src/dispatch/internal/job_admission.h
@@ -2,9 +2,12 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
+#include "dispatch/internal/admission_forecast.h"
 #include "dispatch/internal/job_state.h"
 #include "dispatch/internal/receive_delay.h"
 #include "dispatch/internal/worker_table.h"
@@ -22,8 +25,6 @@
 /// What is known of a job before it is admitted.
 struct JobTimes {
   std::chrono::milliseconds critical_path{0};
-  /// By which the job must start to meet its objective.
-  SteadyTime latest_start;
   /// Until when the caller waits for the answer.
   SteadyTime deadline;
 };
@@ -53,15 +54,17 @@
   /// Work that waits for the workers of one service, and their capacity.
   struct Backlog {
     WorkerTable::ServiceCapacity capacity;
+    double own_share = 1;
     double millicore_ms = 0;
   };
 
   bool IsStarting(Now now) const { return now.steady - m_started_at <= kStartupGracePeriod; }
   /// Whether a step that waits behind the backlog starts too late to be of use.
-  bool IsHopeless(const Backlog& backlog, SteadyTime last_useful_start, Now now) const;
+  bool IsHopeless(const Backlog& backlog, SteadyTime latest_start, Now now) const;
+  Backlog BacklogOf(const std::string& service, Now now) const;
   static std::chrono::milliseconds ForecastWaitBehind(const Backlog& backlog);
-  void RecordRefusalOfWaiting(const JobState& job, SteadyTime last_useful_start,
-                              const Backlog& backlog, Now now);
+  void RecordRefusalOfWaiting(const JobState& job, SteadyTime latest_start, const Backlog& backlog,
+                              Now now);
   std::chrono::milliseconds ReceiveDelayOfRequests() const;
 
   WorkerTable& m_workers;
@@ -70,6 +73,7 @@
   /// For the log: which configuration decided on a request.
   Version m_plan_version = 0;
   SteadyTime m_started_at;
+  std::map<std::string, OwnShare, std::less<>> m_own_shares;
 };
 
 /// Requirements of a task of the step; `avoid` is the worker of its last attempt or 0.
--- a/src/dispatch/internal/job_state.h
+++ b/src/dispatch/internal/job_state.h
@@ -1,11 +1,10 @@
 #pragma once
 
-#include <algorithm>
 #include <chrono>
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <tuple>
 #include <vector>
 
 #include "dispatch/dispatch_plan.h"
@@ -35,10 +34,8 @@
   std::vector<TaskProgress> tasks;
   std::uint32_t done = 0;
   bool released = false;
-  /// By which the step must start to meet the objective; the order of waiting steps.
+  /// After this time the job is no longer expected to complete before its deadline.
   SteadyTime latest_start;
-  /// After this time the job is no longer expected to complete before its callers stop waiting.
-  SteadyTime last_useful_start;
   /// Number of the step's tasks placed on each worker.
   std::map<NodeId, std::uint32_t> tasks_per_worker;
 };
@@ -50,7 +47,8 @@
   QueuePlan queue;
   std::vector<RequestId> requests;
   SteadyTime submitted_at;
-  SteadyTime due;
+  /// End of the queue's objective, a measure for the log only.
+  SteadyTime objective_end;
   /// Until when the caller waits for the answer.
   SteadyTime deadline;
   std::vector<StepState> steps;
@@ -64,24 +62,19 @@
   bool may_have_run() const { return ran || open_orders > 0; }
 };
 
-/// How long a job waits behind others of the next more urgent priority: about the shortest
-/// objective, so that an urgent job does not wait behind less urgent ones that came before it. The
-/// delay bounds the wait, so no priority starves.
-inline constexpr std::chrono::milliseconds kPriorityDelay{150};
-/// Priorities above this are as urgent as this one.
-inline constexpr std::uint32_t kLeastUrgentPriority = 10;
-
-/// Time by which steps are ordered: the latest start (the time by which the step must start to meet
-/// the objective), delayed by the priority of the queue.
-inline SteadyTime OrderTime(const QueuePlan& queue, SteadyTime latest_start) {
-  return latest_start + kPriorityDelay * std::min(queue.priority, kLeastUrgentPriority);
-}
+/// Order of waiting steps: the operators' priority, then whose caller runs out of time first.
+struct WaitKey {
+  std::uint32_t priority = 0;
+  SteadyTime latest_start;
+  /// Sequence number of the job; of two jobs with the same times the one that came first.
+  std::uint64_t sequence = 0;
+  std::uint32_t step = 0;
 
-/// Order of waiting steps: order time, sequence number of the job, index of the step.
-using WaitKey = std::tuple<SteadyTime, std::uint64_t, std::uint32_t>;
+  friend auto operator<=>(const WaitKey&, const WaitKey&) = default;
+};
 
 inline WaitKey KeyOf(const JobState& job, std::uint32_t step) {
-  return {OrderTime(job.queue, job.steps[step].latest_start), job.sequence, step};
+  return {job.queue.priority, job.steps[step].latest_start, job.sequence, step};
 }
 
 /// The waiting tasks of one step.
--- a/src/dispatch/internal/worker_executor.cpp
+++ b/src/dispatch/internal/worker_executor.cpp
@@ -95,6 +95,8 @@
   std::string payload;
   Resources demand;
   milliseconds expected_run{0};
+  std::uint32_t priority = 0;
+  SteadyTime latest_start;
   SteadyTime received_at;
   SteadyTime expires_at;
   /// Nothing else runs on the endpoint while this task does.
@@ -463,6 +465,8 @@
       item.demand = place.demand;
       item.expected_run = place.expected_run;
       item.alone = place.alone;
+      item.priority = place.priority;
+      item.latest_start = now.steady + place.latest_start;
       item.received_at = now.steady;
       item.expires_at = now.steady + place.expires;
       if (m_early_withdrawals.erase({from.id, placed.order}) > 0 || !IsAccepting(now) ||
@@ -470,10 +474,15 @@
         Report(item, TaskEnd::kNotRun, now, milliseconds(0));
         continue;
       }
-      m_queue.emplace(now.steady + place.latest_start, std::move(item));
+      Enqueue(std::move(item));
     }
   }
 
+  void Enqueue(QueuedTask task) {
+    const std::pair key(task.priority, task.latest_start);
+    m_queue.emplace(key, std::move(task));
+  }
+
   void OnWithdraw(NodeRef from, const WithdrawTasks& withdraw, Now now, ExecutorOutputs& out) {
     EntryRecord& entry = FindOrAddEntry(from, now);
     for (const OrderId order : withdraw.orders) {
@@ -565,7 +574,7 @@
         QueuedTask task = std::move(run.task);
         m_runs.erase(name);
         if (task.expires_at > now.steady) {
-          m_queue.emplace(now.steady, std::move(task));
+          Enqueue(std::move(task));
         } else {
           Report(task, TaskEnd::kNotRun, now, milliseconds(0));
         }
@@ -990,8 +999,8 @@
   std::optional<std::pair<EndpointTime, SteadyTime>> m_clock;
   milliseconds m_incarnation_born{0};
   std::map<NodeId, EntryRecord> m_entries;
-  /// Sorted by latest start.
-  std::multimap<SteadyTime, QueuedTask> m_queue;
+  /// Sorted by priority, then by latest start.
+  std::multimap<std::pair<std::uint32_t, SteadyTime>, QueuedTask> m_queue;
   std::map<RunId, ActiveRun> m_runs;
   /// Runs listed by the endpoint that this executor did not start or no longer tracks; they are
   /// being stopped.
--- a/src/dispatch/tests/dispatch_world.h
+++ b/src/dispatch/tests/dispatch_world.h
@@ -63,6 +63,8 @@
   std::uint32_t refused = 0;
   /// Given up after a task had started, because the deadline came before the end.
   std::uint32_t given_up = 0;
+  /// Refusals later than one review after the last moment at which the job could have started.
+  std::uint32_t refused_too_late = 0;
   /// How long each refused caller was held.
   std::vector<std::chrono::milliseconds> held_before_refusal;
   /// Time from the arrival of each job to its completion.
--- a/src/model/dispatch_messages.h
+++ b/src/model/dispatch_messages.h
@@ -55,8 +55,9 @@
   std::string payload;
   Resources demand;
   std::chrono::milliseconds expected_run{0};
-  /// Latest start for the job to meet its objective, delayed by its priority; the queue is ordered
-  /// by it.
+  /// The tasks are started in order of priority, 0 first, and then by latest start, after which the
+  /// job is not expected to complete before its deadline.
+  std::uint32_t priority = 0;
   std::chrono::milliseconds latest_start{0};
   /// A task that has not started by then is reported as kNotRun.
   std::chrono::milliseconds expires{0};
--- a/src/transport/internal/codec.cpp
+++ b/src/transport/internal/codec.cpp
@@ -413,7 +413,7 @@
     const wire::Resources demand = ToWireStruct(m.demand);
     return wire::CreatePlaceTasks(builder, job, m.step, payload, &demand, m.expected_run.count(),
                                   m.latest_start.count(), m.expires.count(),
-                                  builder.CreateVectorOfStructs(tasks), m.alone);
+                                  builder.CreateVectorOfStructs(tasks), m.alone, m.priority);
   }
 
   fb::Offset<wire::WithdrawTasks> Put(const WithdrawTasks& m) {
@@ -1017,6 +1017,7 @@
       out.tasks.push_back({task->order(), task->index(), task->attempt()});
     }
     out.alone = in.alone();
+    out.priority = in.priority();
   }
 
   static void Get(const wire::WithdrawTasks& in, WithdrawTasks& out) {
--- a/src/transport/tests/codec_test.cpp
+++ b/src/transport/tests/codec_test.cpp
@@ -105,6 +105,7 @@
                  "payload",
                  {2, 3, 4},
                  Ms(5),
+                 14,
                  Ms(-6),
                  Ms(7),
                  {{8, 9, 10}, {11, 12, 13}},
