Let a job wait for its claim as long as it can still complete

What callers saw: when the witnesses of a job answered late, the caller was refused after 0.4 of its time, however much was left. A request that was repeated while its runs were being stopped, or after another entry had had the job, started with a fresh clock; a first request did not.

Cause: kMaxClaimWaitShare, and received_at set anew in OnHeld and FinishEnded, which only mattered while refusals were counted from the arrival.

Fix: a job without a decision is refused when no caller is left for whom it can start in time (deadline less the critical path). Nobody is told that it never runs while it can still run for another caller. received_at is the arrival in all cases, and only the log uses it; with the same time left, a repeat is decided like a first request.

--- a/src/dispatch/internal/entry_dispatcher.cpp
+++ b/src/dispatch/internal/entry_dispatcher.cpp
@@ -76,7 +76,7 @@
     const JobName name{queue.address(), job.id};
     if (Attach(name, request, deadline)) return;
     const auto critical_paths = RemainingCriticalPaths(job.steps);
-    const milliseconds critical_path = *std::ranges::max_element(critical_paths);
+    const milliseconds critical_path = std::ranges::max(critical_paths);
     const milliseconds objective =
         milliseconds(
             static_cast<std::int64_t>(queue.stretch * static_cast<double>(critical_path.count()))) +
--- a/src/dispatch/internal/job_state.cpp
+++ b/src/dispatch/internal/job_state.cpp
@@ -15,4 +15,8 @@
   return critical_paths;
 }
 
+std::chrono::milliseconds CriticalPath(const std::vector<JobStep>& steps) {
+  return std::ranges::max(RemainingCriticalPaths(steps));
+}
+
 }  // namespace foxtailrudder
--- a/src/dispatch/internal/job_state.h
+++ b/src/dispatch/internal/job_state.h
@@ -98,5 +98,7 @@
 
 /// Returns for each step the length of the critical path from its start to the end of the job.
 std::vector<std::chrono::milliseconds> RemainingCriticalPaths(const std::vector<JobStep>& steps);
+/// Returns the length of the critical path of the whole job.
+std::chrono::milliseconds CriticalPath(const std::vector<JobStep>& steps);
 
 }  // namespace foxtailrudder
--- a/src/dispatch/internal/shared_jobs.cpp
+++ b/src/dispatch/internal/shared_jobs.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "dispatch/internal/job_claims.h"
+#include "dispatch/internal/job_state.h"
 #include "dispatch/internal/milliseconds.h"
 #include "dispatch/timing.h"
 
@@ -18,9 +19,6 @@
 /// A request of another entry that has not been repeated for this long is taken as withdrawn.
 constexpr milliseconds kAttachmentTimeout{1'000};
 
-/// A job is refused when it has waited for its claim for this share of the time to its deadline.
-constexpr double kMaxClaimWaitShare = 0.4;
-
 JobOutcome OutcomeOf(JobEnd end) {
   switch (end) {
     case JobEnd::kCompleted:
@@ -103,8 +101,6 @@
   /// A task has run or may run for a request of another entry or for an earlier claim, so the job
   /// must not be reported as not run.
   bool may_run_elsewhere = false;
-  /// Without a decision by then, the job is refused.
-  SteadyTime claim_until;
   JobOutcome outcome = JobOutcome::kNone;
 };
 
@@ -137,8 +133,6 @@
     shared.queue = queue;
     shared.job = std::move(job);
     shared.job.received_at = now.steady;
-    const double wait = kMaxClaimWaitShare * static_cast<double>(Ms(deadline - now.steady).count());
-    shared.claim_until = now.steady + milliseconds(static_cast<std::int64_t>(wait));
     if (RefuseWithoutContact(shared, now, out)) return;
     ClaimOutputs claims;
     m_claims.Claim(shared.claim, now, claims);
@@ -287,14 +281,20 @@
     return true;
   }
 
-  /// Ends a job that waits for its claim longer than it can.
+  /// Answers the callers for whom the claim can no longer come in time. A job that may run at
+  /// another entry may still end before their deadline; any other one has to start here before
+  /// that, and while a caller is left for whom it can, nobody is told that it never runs.
   void EndLateClaim(SharedJob& shared, Now now, DispatchOutputs& out) {
     if (RefuseWithoutContact(shared, now, out)) return;
-    const bool is_undecided = !shared.may_run_elsewhere && now.steady >= shared.claim_until;
+    const milliseconds critical_path = CriticalPath(shared.job.steps);
+    const bool is_undecided =
+        !shared.may_run_elsewhere && std::ranges::all_of(shared.waiters, [&](const Waiter& waiter) {
+          return now.steady > waiter.deadline - critical_path;
+        });
     const JobAnswered answer =
-        shared.may_run_elsewhere
-            ? JobAnswered{0, JobEnd::kGivenUp, ErrorKind::kDeadlineExceeded, std::nullopt}
-            : JobAnswered{0, JobEnd::kRefused, ErrorKind::kNotStartedInTime, kDefaultRetryAfter};
+        is_undecided
+            ? JobAnswered{0, JobEnd::kRefused, ErrorKind::kNotStartedInTime, kDefaultRetryAfter}
+            : JobAnswered{0, JobEnd::kGivenUp, ErrorKind::kDeadlineExceeded, std::nullopt};
     bool has_ended = false;
     for (const Waiter& waiter : std::vector<Waiter>(shared.waiters)) {
       if (!is_undecided && now.steady < waiter.deadline) continue;
@@ -307,6 +307,7 @@
     m_log.Record(DecisionClass::kAnomaly, "claim_given_up", shared.job.id,
                  {{"queue", shared.queue.name},
                   {"waited_ms", Ms(now.steady - *shared.job.received_at).count()},
+                  {"expected_ms", critical_path.count()},
                   {"may_run_elsewhere", static_cast<std::int64_t>(shared.may_run_elsewhere)}});
     if (shared.waiters.empty()) DropClaim(shared, out);
   }
@@ -405,8 +406,6 @@
   void OnHeld(SharedJob& shared, Now now, DispatchOutputs& out) {
     shared.holder.reset();
     if (shared.phase == JobPhase::kClaiming) {
-      // The time in which another entry had the job does not make it hopeless.
-      if (shared.may_run_elsewhere) shared.job.received_at = now.steady;
       Start(shared, now, out);
     } else if (shared.phase == JobPhase::kRunning) {
       m_dispatcher.Resume(shared.claim.job, now, out);
@@ -562,7 +561,6 @@
     const JobName name = shared.claim.job;
     if (!shared.waiters.empty() && shared.outcome == JobOutcome::kNone) {
       // Requested again while its runs were being stopped.
-      shared.job.received_at = now.steady;
       if (m_claims.IsHeld(name)) {
         Start(shared, now, out);
       } else {
