Give each caller of a shared job its own deadline

What callers saw: when several devices asked for one job, the first one's deadline was forgotten: it was answered only at the last one's. A job was refused although the device that had joined it had time left, and when a claim came late one device could be told "never runs" by an entry that then ran the job for the other.

Cause: one deadline for the job, the largest ever seen, also of a caller that had left, beside start times from the first request; SharedJobs submitted its waiters in the order of their arrival, each decided by itself.

Fix: the job keeps the deadline of each waiting caller. The first deadline decides its place, the last one whether it can still be served; a caller that leaves takes its time along. At its own deadline a caller is answered as given up while others wait (not as "not run": the job may run for them). The waiter with the most time decides for all whether the job is taken.

Evidence: on the code before, each_caller_of_a_job_has_its_own_deadline (no answer to the first caller) and no_caller_is_told_that_a_job_never_runs_while_it_runs_for_another failed. a_caller_that_left_gives_a_job_no_time passed before, because joining never moved the start times; it guards the new bookkeeping.

--- a/src/dispatch/internal/entry_dispatcher.cpp
+++ b/src/dispatch/internal/entry_dispatcher.cpp
@@ -75,8 +75,7 @@
     ++m_counters.submitted;
     const JobName name{queue.address(), job.id};
     if (Attach(name, request, deadline)) return;
-    const auto critical_paths = RemainingCriticalPaths(job.steps);
-    const milliseconds critical_path = std::ranges::max(critical_paths);
+    const milliseconds critical_path = CriticalPath(job.steps);
     const milliseconds objective =
         milliseconds(
             static_cast<std::int64_t>(queue.stretch * static_cast<double>(critical_path.count()))) +
@@ -100,16 +99,15 @@
     state.name = name;
     state.sequence = ++m_last_sequence;
     state.queue = queue;
-    state.requests.push_back(request);
+    state.requests.emplace(request, deadline);
     state.submitted_at = received_at;
     state.objective_end = received_at + objective;
-    state.deadline = deadline;
     state.job = std::move(job);
     state.steps.resize(state.job.steps.size());
     for (std::size_t i = 0; i < state.steps.size(); ++i) {
       state.steps[i].tasks.resize(state.job.steps[i].count);
-      state.steps[i].latest_start = deadline - critical_paths[i];
     }
+    state.SetStartTimes();
     m_request_jobs[request] = name;
     MarkSuspects(state);
     m_log.Record(DecisionClass::kRoutine, "job_taken", state.job.id,
@@ -129,8 +127,11 @@
     const JobName name = found->second;
     m_request_jobs.erase(found);
     JobState& job = m_jobs.at(name);
-    std::erase(job.requests, request);
-    if (!job.requests.empty()) return;
+    job.requests.erase(request);
+    if (!job.requests.empty()) {
+      UpdateStartTimes(job);
+      return;
+    }
     ++m_counters.callers_gone;
     m_log.Record(
         DecisionClass::kAnomaly, "caller_gone", job.job.id,
@@ -143,10 +144,10 @@
     const auto found = m_jobs.find(name);
     if (found == m_jobs.end()) return false;
     JobState& job = found->second;
-    job.deadline = std::max(job.deadline, deadline);
-    if (std::ranges::find(job.requests, request) != job.requests.end()) return true;
+    const auto [waiting, is_new] = job.requests.insert_or_assign(request, deadline);
+    UpdateStartTimes(job);
+    if (!is_new) return true;
     ++m_counters.joined;
-    job.requests.push_back(request);
     m_request_jobs[request] = name;
     m_log.Record(DecisionClass::kAnomaly, "job_joined", name.id, {{"queue", job.queue.name}});
     return true;
@@ -185,7 +186,7 @@
   void Abandon(const JobName& name, Now now, DispatchOutputs& out) {
     const auto found = m_jobs.find(name);
     if (found == m_jobs.end()) return;
-    for (const RequestId request : found->second.requests) m_request_jobs.erase(request);
+    for (const auto& [request, deadline] : found->second.requests) m_request_jobs.erase(request);
     EndJob(found->second, now, out);
   }
 
@@ -292,7 +293,11 @@
     }
     std::vector<JobName> ended;
     for (auto& [key, job] : m_jobs) {
-      if (now.steady >= job.deadline) ended.push_back(key);
+      if (now.steady >= job.LastDeadline()) {
+        ended.push_back(key);
+      } else {
+        AnswerExpiredRequests(job, now, out);
+      }
     }
     for (const JobName& key : ended) GiveUp(m_jobs.at(key), now, out);
     m_workers.Refresh(now);
@@ -439,6 +444,38 @@
     RequestReports(out);
   }
 
+  /// Called when the callers of a job have changed.
+  void UpdateStartTimes(JobState& job) {
+    std::vector<WaitingSteps::node_type> waiting;
+    for (std::uint32_t i = 0; i < job.steps.size(); ++i) {
+      if (auto step = m_waiting.extract(KeyOf(job, i))) waiting.push_back(std::move(step));
+    }
+    job.SetStartTimes();
+    for (WaitingSteps::node_type& step : waiting) {
+      step.key() = KeyOf(job, step.mapped().step);
+      m_waiting.insert(std::move(step));
+    }
+  }
+
+  /// Answers the callers of a job whose deadline has passed while others still wait. The job may
+  /// run for those, so it cannot be reported as not run.
+  void AnswerExpiredRequests(JobState& job, Now now, DispatchOutputs& out) {
+    const std::size_t expired = std::erase_if(job.requests, [&](const auto& entry) {
+      const auto& [request, deadline] = entry;
+      if (now.steady < deadline) return false;
+      out.answers.push_back(
+          {request, JobEnd::kGivenUp, ErrorKind::kDeadlineExceeded, std::nullopt});
+      m_request_jobs.erase(request);
+      return true;
+    });
+    if (expired == 0) return;
+    m_log.Record(DecisionClass::kAnomaly, "callers_out_of_time", job.job.id,
+                 {{"queue", job.queue.name},
+                  {"callers", static_cast<std::int64_t>(expired)},
+                  {"waiting", static_cast<std::int64_t>(job.requests.size())}});
+    UpdateStartTimes(job);
+  }
+
   /// Whether the job fails if the next attempt of the task does, although an earlier one failed
   /// where another worker may not.
   static bool NeedsProvenWorker(const JobState& job, const TaskProgress& task) {
@@ -481,7 +518,7 @@
       TaskProgress& task = state.tasks[index];
       TaskRequirements requirements = RequirementsOf(job.queue, step, task.avoid);
       requirements.needs_proven_worker = NeedsProvenWorker(job, task);
-      requirements.due = job.deadline;
+      requirements.due = job.LastDeadline();
       std::optional<NodeId> chosen;
       if (task.is_suspect) {
         chosen = m_workers.ChooseQuarantined(requirements, step.max_per_worker,
@@ -523,7 +560,7 @@
       placement.priority = job.queue.priority;
       placement.latest_start = Ms(state.latest_start - now.steady);
       placement.expires = std::min(placement.alone ? kAlonePlacementExpiry : kPlacementExpiry,
-                                   Ms(job.deadline - now.steady));
+                                   Ms(job.LastDeadline() - now.steady));
       const WorkerRecord& worker = *m_workers.Find(target.first);
       m_counters.tasks_placed += placement.tasks.size();
       m_log.Record(DecisionClass::kRoutine, "tasks_placed", job.job.id,
@@ -658,9 +695,9 @@
         {{"outcome", succeeded ? std::string_view("completed") : ErrorAnswerOf(reason).name},
          {"queue", job.queue.name},
          {"took_ms", Ms(now.steady - job.submitted_at).count()},
-         {"deadline_ms", Ms(job.deadline - now.steady).count()},
+         {"deadline_ms", Ms(job.LastDeadline() - now.steady).count()},
          {"objective_ms", Ms(job.objective_end - job.submitted_at).count()}});
-    for (const RequestId request : job.requests) {
+    for (const auto& [request, deadline] : job.requests) {
       out.answers.push_back({request, end, reason, retry_after});
       m_request_jobs.erase(request);
     }
--- a/src/dispatch/internal/job_admission.cpp
+++ b/src/dispatch/internal/job_admission.cpp
@@ -58,10 +58,10 @@
     }
     // Several steps of one job may be waiting.
     if (std::ranges::find(refused, &job) != refused.end()) continue;
-    const SteadyTime latest_start = job.steps[waiting.step].latest_start;
-    if (!job.may_have_run() && IsHopeless(backlog, latest_start, now)) {
+    const SteadyTime last_useful_start = job.steps[waiting.step].last_useful_start;
+    if (!job.may_have_run() && IsHopeless(backlog, last_useful_start, now)) {
       refused.push_back(&job);
-      RecordRefusalOfWaiting(job, latest_start, backlog, now);
+      RecordRefusalOfWaiting(job, last_useful_start, backlog, now);
       continue;
     }
     backlog.millicore_ms += MillicoreMsOf(waiting);
@@ -69,12 +69,12 @@
   return refused;
 }
 
-bool JobAdmission::IsHopeless(const Backlog& backlog, SteadyTime latest_start, Now now) const {
-  if (now.steady > latest_start) return true;
+bool JobAdmission::IsHopeless(const Backlog& backlog, SteadyTime last_useful_start, Now now) const {
+  if (now.steady > last_useful_start) return true;
   // The workers known so far say little about the capacity.
   if (IsStarting(now)) return false;
   if (backlog.capacity.workers == 0) return true;
-  return now.steady + ForecastWaitBehind(backlog) > latest_start;
+  return now.steady + ForecastWaitBehind(backlog) > last_useful_start;
 }
 
 milliseconds JobAdmission::ForecastWaitBehind(const Backlog& backlog) {
@@ -88,14 +88,14 @@
           share == m_own_shares.end() ? 1 : share->second.value(), 0};
 }
 
-void JobAdmission::RecordRefusalOfWaiting(const JobState& job, SteadyTime latest_start,
+void JobAdmission::RecordRefusalOfWaiting(const JobState& job, SteadyTime last_useful_start,
                                           const Backlog& backlog, Now now) {
   m_log.Record(DecisionClass::kAnomaly, "job_hopeless", job.job.id,
                {{"queue", job.queue.name},
                 {"waited_ms", Ms(now.steady - job.submitted_at).count()},
                 {"wait_ms", ForecastWaitBehind(backlog).count()},
-                {"left_ms", Ms(latest_start - now.steady).count()},
-                {"deadline_ms", Ms(job.deadline - now.steady).count()},
+                {"left_ms", Ms(last_useful_start - now.steady).count()},
+                {"deadline_ms", Ms(job.LastDeadline() - now.steady).count()},
                 {"workers", static_cast<std::int64_t>(backlog.capacity.workers)},
                 {"capacity", static_cast<std::int64_t>(backlog.capacity.total)},
                 {"committed", static_cast<std::int64_t>(backlog.capacity.committed)}});
--- a/src/dispatch/internal/job_admission.h
+++ b/src/dispatch/internal/job_admission.h
@@ -60,11 +60,11 @@
 
   bool IsStarting(Now now) const { return now.steady - m_started_at <= kStartupGracePeriod; }
   /// Whether a step that waits behind the backlog starts too late to be of use.
-  bool IsHopeless(const Backlog& backlog, SteadyTime latest_start, Now now) const;
+  bool IsHopeless(const Backlog& backlog, SteadyTime last_useful_start, Now now) const;
   Backlog BacklogOf(const std::string& service, Now now) const;
   static std::chrono::milliseconds ForecastWaitBehind(const Backlog& backlog);
-  void RecordRefusalOfWaiting(const JobState& job, SteadyTime latest_start, const Backlog& backlog,
-                              Now now);
+  void RecordRefusalOfWaiting(const JobState& job, SteadyTime last_useful_start,
+                              const Backlog& backlog, Now now);
   std::chrono::milliseconds ReceiveDelayOfRequests() const;
 
   WorkerTable& m_workers;
--- a/src/dispatch/internal/job_state.cpp
+++ b/src/dispatch/internal/job_state.cpp
@@ -1,9 +1,24 @@
 #include "dispatch/internal/job_state.h"
 
 #include <algorithm>
+#include <ranges>
 
 namespace foxtailrudder {
 
+SteadyTime JobState::LastDeadline() const {
+  return std::ranges::max(requests | std::views::values);
+}
+
+void JobState::SetStartTimes() {
+  const SteadyTime first_deadline = std::ranges::min(requests | std::views::values);
+  const SteadyTime last_deadline = LastDeadline();
+  const auto critical_paths = RemainingCriticalPaths(job.steps);
+  for (std::size_t i = 0; i < steps.size(); ++i) {
+    steps[i].latest_start = first_deadline - critical_paths[i];
+    steps[i].last_useful_start = last_deadline - critical_paths[i];
+  }
+}
+
 std::vector<std::chrono::milliseconds> RemainingCriticalPaths(const std::vector<JobStep>& steps) {
   std::vector<std::chrono::milliseconds> critical_paths(steps.size());
   for (std::size_t i = steps.size(); i-- > 0;) {
--- a/src/dispatch/internal/job_state.h
+++ b/src/dispatch/internal/job_state.h
@@ -34,8 +34,11 @@
   std::vector<TaskProgress> tasks;
   std::uint32_t done = 0;
   bool released = false;
-  /// After this time the job is no longer expected to complete before its deadline.
+  /// By which the step must start so that the job completes before the first of its callers'
+  /// deadlines; the order of waiting steps.
   SteadyTime latest_start;
+  /// After this time the job is no longer expected to complete before any of the deadlines.
+  SteadyTime last_useful_start;
   /// Number of the step's tasks placed on each worker.
   std::map<NodeId, std::uint32_t> tasks_per_worker;
 };
@@ -45,12 +48,11 @@
   std::uint64_t sequence = 0;
   DispatchJob job;
   QueuePlan queue;
-  std::vector<RequestId> requests;
+  /// The deadline of each waiting caller's request.
+  std::map<RequestId, SteadyTime> requests;
   SteadyTime submitted_at;
   /// End of the queue's objective, a measure for the log only.
   SteadyTime objective_end;
-  /// Until when the caller waits for the answer.
-  SteadyTime deadline;
   std::vector<StepState> steps;
   /// A placement has ended with a result other than "not run".
   bool ran = false;
@@ -60,6 +62,11 @@
 
   /// True also for an open placement, which its worker may have started.
   bool may_have_run() const { return ran || open_orders > 0; }
+
+  /// Until when the last of the callers waits for the answer.
+  SteadyTime LastDeadline() const;
+  /// Sets the start times of the steps from the deadlines of the requests.
+  void SetStartTimes();
 };
 
 /// Order of waiting steps: the operators' priority, then whose caller runs out of time first.
--- a/src/dispatch/internal/shared_jobs.cpp
+++ b/src/dispatch/internal/shared_jobs.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/shared_jobs.h"
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -415,8 +416,18 @@
   void Start(SharedJob& shared, Now now, DispatchOutputs& out) {
     shared.phase = JobPhase::kRunning;
     shared.outcome = JobOutcome::kNone;
+    // The one with the most time decides whether the job is taken, so that none of the others is
+    // told that it never runs while it does.
+    std::ranges::sort(shared.waiters, std::greater<>(), &Waiter::deadline);
+    const std::size_t answers_before = out.answers.size();
     for (const Waiter& waiter : shared.waiters) {
-      m_dispatcher.Submit(waiter.id, shared.queue, shared.job, waiter.deadline, now, out);
+      if (out.answers.size() > answers_before) {
+        JobAnswered answer = out.answers.back();
+        answer.request = waiter.id;
+        out.answers.push_back(answer);
+      } else {
+        m_dispatcher.Submit(waiter.id, shared.queue, shared.job, waiter.deadline, now, out);
+      }
     }
   }
 
--- a/src/dispatch/tests/entry_dispatcher_test.cpp
+++ b/src/dispatch/tests/entry_dispatcher_test.cpp
@@ -775,6 +775,45 @@
       decisions[1], [](const std::string& made) { return made.find("answer") < made.size(); }));
 }
 
+// Guards against a job that goes on for a caller who has left: its deadline counts no more.
+BOOST_AUTO_TEST_CASE(a_caller_that_left_gives_a_job_no_time) {
+  const WorkerReport busy = Report("w1", 1'000, 0);
+  Settle(busy);
+  Submit(1, Job("a", 1, 1'000, milliseconds(100)), milliseconds(500));
+  Submit(2, Job("a", 1, 1'000, milliseconds(100)), milliseconds(3'000));
+  dispatcher.OnCallerDisconnected(2, now(), out);
+  const SteadyTime deadline = time + milliseconds(500);
+  WaitForAnswer(busy, milliseconds(1'000));
+  BOOST_TEST_REQUIRE(out.answers.size() == 1);
+  BOOST_TEST((out.answers[0].end == JobEnd::kRefused));
+  BOOST_TEST((time <= deadline - milliseconds(100) + kTick));
+}
+
+// Guards against a caller that loses its place because another one with more time joins its job,
+// and against one that is held beyond its own deadline for the other's sake.
+BOOST_AUTO_TEST_CASE(each_caller_of_a_job_has_its_own_deadline) {
+  const WorkerReport busy = Report("w1", 1'000, 0);
+  Settle(busy);
+  Submit(1, Job("shared", 1, 1'000, milliseconds(100)), milliseconds(400));
+  Submit(2, Job("other", 1, 1'000, milliseconds(100)), milliseconds(500));
+  Submit(3, Job("shared", 1, 1'000, milliseconds(100)), milliseconds(3'000));
+  ReceiveReport(kFirst, Report("w1", 1'000, 1'000));
+  auto placed = TakePlacements();
+  BOOST_TEST_REQUIRE(placed.size() == 1U);
+  BOOST_TEST(placed[0].job.id == "shared");
+  End(kFirst, placed[0].tasks[0].order, TaskEnd::kNotRun);
+  out.messages.clear();
+  time += milliseconds(400);
+  ReceiveReport(kFirst, busy);
+  Tick();
+  BOOST_TEST_REQUIRE(out.answers.size() >= 1);
+  const auto first = std::ranges::find(out.answers, 1U, &JobAnswered::request);
+  BOOST_TEST_REQUIRE((first != out.answers.end()));
+  // The job may still run for the other caller.
+  BOOST_TEST((first->end == JobEnd::kGivenUp));
+  BOOST_TEST((std::ranges::find(out.answers, 3U, &JobAnswered::request) == out.answers.end()));
+}
+
 // Guards against jobs that are refused because of waiting work that does not come before them.
 BOOST_AUTO_TEST_CASE(the_forecast_counts_the_work_that_comes_first_by_priority) {
   Settle(Report("w1", 1'000, 1'000));
--- a/src/dispatch/tests/shared_jobs_test.cpp
+++ b/src/dispatch/tests/shared_jobs_test.cpp
@@ -654,6 +654,23 @@
   BOOST_TEST(IsCompleted(world.EndOf(request)));
 }
 
+// Guards against a caller that is told "not run" by an entry that runs the job for another one: the
+// first has no time left when the claim comes, the second has.
+BOOST_AUTO_TEST_CASE(no_caller_is_told_that_a_job_never_runs_while_it_runs_for_another) {
+  World world(1, 3);
+  world.RunFor(kStartupGracePeriod);
+  for (const std::uint32_t sidecar : {0U, 1U}) world.Freeze(false, sidecar, true);
+  const RequestId phone = world.SubmitWithin(milliseconds(600), 0, "job");
+  const RequestId laptop = world.SubmitWithin(milliseconds(3'000), 0, "job");
+  world.RunFor(milliseconds(400));
+  for (const std::uint32_t sidecar : {0U, 1U}) world.Freeze(false, sidecar, false);
+  world.RunFor(milliseconds(1'500));
+  BOOST_TEST(world.StartsOf("job") == 2U);
+  BOOST_TEST(IsCompleted(world.EndOf(laptop)));
+  BOOST_TEST(world.EndOf(phone).has_value());
+  BOOST_TEST((world.EndOf(phone) != JobEnd::kRefused));
+}
+
 // Guards against a witness that forgets a grant when it is restarted.
 BOOST_AUTO_TEST_CASE(a_restarted_witness_learns_the_grants_before_it_votes) {
   World world(2, 3);
