Tell refused callers when there will be room for them

What callers saw: whoever was refused after having waited was told to come back in a second, however long the backlog was, all at the same time; so was whoever asked for something that is never served. A job that no worker can run was refused on arrival only; one that waited when its last worker left was held.

Fix: new and waiting jobs are decided by one function. Without workers it is a presence period, without a decision on the claim the claim's lease. What is never served gets no Retry-After. Since waiting jobs are refused too when no worker is left, an entry that was paused first waits for the reports that it has not handled yet.

--- a/src/dispatch/entry_dispatcher.h
+++ b/src/dispatch/entry_dispatcher.h
@@ -32,7 +32,8 @@
   JobEnd end = JobEnd::kRefused;
   /// Why the job was refused, failed or was given up.
   ErrorKind reason = ErrorKind::kInternal;
-  /// Delay after which the caller may retry; set for a refusal.
+  /// Delay after which the caller may retry; set for a refusal unless nothing tells when the job
+  /// could run.
   std::optional<std::chrono::milliseconds> retry_after;
 };
 
--- a/src/dispatch/internal/entry_dispatcher.cpp
+++ b/src/dispatch/internal/entry_dispatcher.cpp
@@ -291,6 +291,11 @@
         m_workers.Remove(record.sidecar.id);
       }
     }
+    m_workers.Refresh(now);
+    RequestReports(out);
+    for (const auto& [job, refusal] : m_admission.Review(m_waiting, now)) {
+      Answer(*job, JobEnd::kRefused, refusal.reason, now, out, refusal.retry_after);
+    }
     std::vector<JobName> ended;
     for (auto& [key, job] : m_jobs) {
       if (now.steady >= job.LastDeadline()) {
@@ -299,10 +304,7 @@
         AnswerExpiredRequests(job, now, out);
       }
     }
-    for (const JobName& key : ended) GiveUp(m_jobs.at(key), now, out);
-    m_workers.Refresh(now);
-    RequestReports(out);
-    for (JobState* job : m_admission.Review(m_waiting, now)) GiveUp(*job, now, out);
+    for (const JobName& key : ended) EndLateJob(m_jobs.at(key), now, out);
     Dispatch(now, out);
   }
 
@@ -664,16 +666,18 @@
     }
   }
 
-  void GiveUp(JobState& job, Now now, DispatchOutputs& out) {
+  /// Ends a job whose callers wait no longer. One that has not run was suspended for want of its
+  /// claim, which another entry can have when the lease has passed.
+  void EndLateJob(JobState& job, Now now, DispatchOutputs& out) {
     if (job.may_have_run()) {
       Answer(job, JobEnd::kGivenUp, ErrorKind::kDeadlineExceeded, now, out);
     } else {
-      Answer(job, JobEnd::kRefused, ErrorKind::kNotStartedInTime, now, out);
+      Answer(job, JobEnd::kRefused, ErrorKind::kNotStartedInTime, now, out, kClaimLease);
     }
   }
 
-  void Answer(JobState& job, JobEnd end, ErrorKind reason, Now now, DispatchOutputs& out) {
-    std::optional<milliseconds> retry_after;
+  void Answer(JobState& job, JobEnd end, ErrorKind reason, Now now, DispatchOutputs& out,
+              std::optional<milliseconds> retry_after = std::nullopt) {
     switch (end) {
       case JobEnd::kCompleted:
         ++m_counters.completed;
@@ -683,7 +687,6 @@
         break;
       case JobEnd::kRefused:
         ++m_counters.refused;
-        retry_after = kDefaultRetryAfter;
         break;
       case JobEnd::kGivenUp:
         ++m_counters.given_up;
--- a/src/dispatch/internal/job_admission.cpp
+++ b/src/dispatch/internal/job_admission.cpp
@@ -17,14 +17,18 @@
 /// Period of Tick; a decision may be late by this much.
 constexpr milliseconds kTickPeriod{20};
 
+double MillicoreMsOf(const JobStep& step, std::uint32_t tasks) {
+  return static_cast<double>(tasks) * step.demand.cpu_millicores *
+         static_cast<double>(step.expected_run.count());
+}
+
 double MillicoreMsOf(const WaitingStep& waiting) {
   const JobStep& step = waiting.job->job.steps[waiting.step];
   // Suspects do not compete for the workers that others use.
   const std::vector<TaskProgress>& slots = waiting.job->steps[waiting.step].tasks;
   const auto count = std::ranges::count_if(
       waiting.tasks, [&](std::uint32_t index) { return !slots[index].is_suspect; });
-  return static_cast<double>(count) * step.demand.cpu_millicores *
-         static_cast<double>(step.expected_run.count());
+  return MillicoreMsOf(step, static_cast<std::uint32_t>(count));
 }
 
 /// Work of the waiting tasks of a service that come before a new job, in millicores x milliseconds.
@@ -40,12 +44,20 @@
 }  // namespace
 
 void JobAdmission::OnStarted(Now now) {
-  if (m_started_at == SteadyTime()) m_started_at = now.steady;
+  if (m_capacity_known_from == SteadyTime()) {
+    m_capacity_known_from = now.steady + kStartupGracePeriod;
+  }
+}
+
+void JobAdmission::NotePause(Now now) {
+  if (m_pauses.OnInput(now) == SteadyTime::duration::zero()) return;
+  m_capacity_known_from = std::max(m_capacity_known_from, now.steady + kWorkerReportTimeout);
 }
 
-std::vector<JobState*> JobAdmission::Review(const WaitingSteps& waiting_steps, Now now) {
+std::vector<RefusedJob> JobAdmission::Review(const WaitingSteps& waiting_steps, Now now) {
+  NotePause(now);
   std::map<std::string, Backlog, std::less<>> backlogs;
-  std::vector<JobState*> refused;
+  std::vector<RefusedJob> refused;
   for (const auto& [key, waiting] : waiting_steps) {
     JobState& job = *waiting.job;
     auto [found, is_new] = backlogs.try_emplace(job.queue.service);
@@ -57,11 +69,15 @@
                                              now.steady);
     }
     // Several steps of one job may be waiting.
-    if (std::ranges::find(refused, &job) != refused.end()) continue;
+    if (std::ranges::find(refused, &job, &RefusedJob::job) != refused.end()) continue;
     const SteadyTime last_useful_start = job.steps[waiting.step].last_useful_start;
-    if (!job.may_have_run() && IsHopeless(backlog, last_useful_start, now)) {
-      refused.push_back(&job);
-      RecordRefusalOfWaiting(job, last_useful_start, backlog, now);
+    const auto reason = job.may_have_run()
+                            ? std::nullopt
+                            : ReasonToRefuse(job.queue, job.job, backlog, last_useful_start, now);
+    if (reason) {
+      refused.push_back(
+          {&job, Refuse(*reason, job.queue, job.job, backlog, last_useful_start, now)});
+      RecordRefusalOfWaiting(job, refused.back().refusal, last_useful_start, backlog, now);
       continue;
     }
     backlog.millicore_ms += MillicoreMsOf(waiting);
@@ -69,12 +85,39 @@
   return refused;
 }
 
-bool JobAdmission::IsHopeless(const Backlog& backlog, SteadyTime last_useful_start, Now now) const {
-  if (now.steady > last_useful_start) return true;
+std::optional<ErrorKind> JobAdmission::ReasonToRefuse(const QueuePlan& queue,
+                                                      const DispatchJob& job,
+                                                      const Backlog& backlog,
+                                                      SteadyTime last_useful_start, Now now) const {
+  if (now.steady > last_useful_start) return ErrorKind::kDeadlineUnreachable;
   // The workers known so far say little about the capacity.
-  if (IsStarting(now)) return false;
-  if (backlog.capacity.workers == 0) return true;
-  return now.steady + ForecastWaitBehind(backlog) > last_useful_start;
+  if (now.steady < m_capacity_known_from) return std::nullopt;
+  if (backlog.capacity.workers == 0) return ErrorKind::kNoCapacity;
+  const bool can_run = std::ranges::all_of(job.steps, [&](const JobStep& step) {
+    return m_workers.CanEverRun(RequirementsOf(queue, step, {}), now);
+  });
+  if (!can_run) return ErrorKind::kCanNeverRun;
+  if (now.steady + ForecastWaitBehind(backlog) > last_useful_start) {
+    return ErrorKind::kDeadlineUnreachable;
+  }
+  return std::nullopt;
+}
+
+AdmissionRefusal JobAdmission::Refuse(ErrorKind reason, const QueuePlan& queue,
+                                      const DispatchJob& job, const Backlog& backlog,
+                                      SteadyTime last_useful_start, Now now) {
+  // Nothing tells when it could run.
+  if (reason == ErrorKind::kCanNeverRun) return {reason, std::nullopt};
+  ReturningJob returning;
+  Backlog own = backlog;
+  own.millicore_ms = 0;
+  for (const JobStep& step : job.steps) own.millicore_ms += MillicoreMsOf(step, step.count);
+  returning.own_work = ForecastWaitBehind(own);
+  // A worker that comes back reports within a presence period.
+  returning.late_by = reason == ErrorKind::kNoCapacity
+                          ? kPresencePeriod
+                          : ForecastWaitBehind(backlog) + Ms(now.steady - last_useful_start);
+  return {reason, m_returns.Add(queue.service, returning, now.steady)};
 }
 
 milliseconds JobAdmission::ForecastWaitBehind(const Backlog& backlog) {
@@ -88,14 +131,17 @@
           share == m_own_shares.end() ? 1 : share->second.value(), 0};
 }
 
-void JobAdmission::RecordRefusalOfWaiting(const JobState& job, SteadyTime last_useful_start,
-                                          const Backlog& backlog, Now now) {
+void JobAdmission::RecordRefusalOfWaiting(const JobState& job, const AdmissionRefusal& refusal,
+                                          SteadyTime last_useful_start, const Backlog& backlog,
+                                          Now now) {
   m_log.Record(DecisionClass::kAnomaly, "job_hopeless", job.job.id,
-               {{"queue", job.queue.name},
+               {{"reason", ErrorAnswerOf(refusal.reason).name},
+                {"queue", job.queue.name},
                 {"waited_ms", Ms(now.steady - job.submitted_at).count()},
                 {"wait_ms", ForecastWaitBehind(backlog).count()},
                 {"left_ms", Ms(last_useful_start - now.steady).count()},
                 {"deadline_ms", Ms(job.LastDeadline() - now.steady).count()},
+                {"retry_after_ms", refusal.retry_after.value_or(milliseconds(0)).count()},
                 {"workers", static_cast<std::int64_t>(backlog.capacity.workers)},
                 {"capacity", static_cast<std::int64_t>(backlog.capacity.total)},
                 {"committed", static_cast<std::int64_t>(backlog.capacity.committed)}});
@@ -105,38 +151,27 @@
                                                            const DispatchJob& job,
                                                            const JobTimes& times,
                                                            const WaitingSteps& waiting, Now now) {
-  std::optional<ErrorKind> reason;
-  milliseconds retry_after = kDefaultRetryAfter;
-  const SteadyTime latest_start = times.deadline - times.critical_path;
+  NotePause(now);
+  const SteadyTime latest_start = times.deadline - times.critical_path - ReceiveDelayOfRequests();
   const WaitKey key{queue.priority, latest_start, UINT64_MAX, 0};
   Backlog backlog = BacklogOf(queue.service, now);
   backlog.millicore_ms = MillicoreMsAhead(waiting, queue.service, key);
-  const milliseconds wait = ForecastWaitBehind(backlog) + ReceiveDelayOfRequests();
-  if (IsHopeless(backlog, latest_start - ReceiveDelayOfRequests(), now)) {
-    reason = ErrorKind::kDeadlineUnreachable;
-    retry_after = std::max(kDefaultRetryAfter, wait);
-  }
-  if (backlog.capacity.workers > 0) {
-    for (const JobStep& step : job.steps) {
-      if (!m_workers.CanEverRun(RequirementsOf(queue, step, {}), now))
-        reason = ErrorKind::kCanNeverRun;
-    }
-  } else if (!IsStarting(now)) {
-    reason = ErrorKind::kNoCapacity;
-  }
+  const auto reason = ReasonToRefuse(queue, job, backlog, latest_start, now);
   if (!reason) return std::nullopt;
+  const AdmissionRefusal refusal = Refuse(*reason, queue, job, backlog, latest_start, now);
   m_log.Record(DecisionClass::kAnomaly, "job_refused", job.id,
                {{"reason", ErrorAnswerOf(*reason).name},
                 {"queue", queue.name},
                 {"plan", static_cast<std::int64_t>(m_plan_version)},
-                {"wait_ms", wait.count()},
+                {"wait_ms", ForecastWaitBehind(backlog).count()},
                 {"receive_delay_ms", m_receive_delay.estimate().count()},
                 {"expected_ms", times.critical_path.count()},
                 {"deadline_ms", Ms(times.deadline - now.steady).count()},
+                {"retry_after_ms", refusal.retry_after.value_or(milliseconds(0)).count()},
                 {"workers", static_cast<std::int64_t>(backlog.capacity.workers)},
                 {"capacity", static_cast<std::int64_t>(backlog.capacity.total)},
                 {"committed", static_cast<std::int64_t>(backlog.capacity.committed)}});
-  return AdmissionRefusal{*reason, retry_after};
+  return refusal;
 }
 
 /// How long a request has waited before it was handled, and how long the messages about it will:
--- a/src/dispatch/internal/job_admission.h
+++ b/src/dispatch/internal/job_admission.h
@@ -10,16 +10,24 @@
 #include "dispatch/internal/admission_forecast.h"
 #include "dispatch/internal/job_state.h"
 #include "dispatch/internal/receive_delay.h"
+#include "dispatch/internal/return_schedule.h"
 #include "dispatch/internal/worker_table.h"
+#include "dispatch/pause_detector.h"
 #include "dispatch/timing.h"
 #include "model/decision_log.h"
 
 namespace foxtailrudder {
 
-/// Why a job is refused on arrival, and when its caller may retry.
+/// Why a job is refused, and when its caller may retry; not set if it is not known that the job can
+/// ever run.
 struct AdmissionRefusal {
   ErrorKind reason = ErrorKind::kInternal;
-  std::chrono::milliseconds retry_after{0};
+  std::optional<std::chrono::milliseconds> retry_after;
+};
+
+struct RefusedJob {
+  JobState* job = nullptr;
+  AdmissionRefusal refusal;
 };
 
 /// What is known of a job before it is admitted.
@@ -48,7 +56,7 @@
 
   /// Reviews the waiting jobs of which no task has started, given what has arrived since, and
   /// returns those that can no longer complete before their deadline.
-  std::vector<JobState*> Review(const WaitingSteps& waiting, Now now);
+  std::vector<RefusedJob> Review(const WaitingSteps& waiting, Now now);
 
  private:
   /// Work that waits for the workers of one service, and their capacity.
@@ -58,13 +66,19 @@
     double millicore_ms = 0;
   };
 
-  bool IsStarting(Now now) const { return now.steady - m_started_at <= kStartupGracePeriod; }
-  /// Whether a step that waits behind the backlog starts too late to be of use.
-  bool IsHopeless(const Backlog& backlog, SteadyTime last_useful_start, Now now) const;
+  /// After a pause of this process the reports of the workers have not been handled yet.
+  void NotePause(Now now);
+  /// The one rule for new and for waiting jobs. `last_useful_start` is that of a step which waits
+  /// behind the backlog.
+  std::optional<ErrorKind> ReasonToRefuse(const QueuePlan& queue, const DispatchJob& job,
+                                          const Backlog& backlog, SteadyTime last_useful_start,
+                                          Now now) const;
+  AdmissionRefusal Refuse(ErrorKind reason, const QueuePlan& queue, const DispatchJob& job,
+                          const Backlog& backlog, SteadyTime last_useful_start, Now now);
   Backlog BacklogOf(const std::string& service, Now now) const;
   static std::chrono::milliseconds ForecastWaitBehind(const Backlog& backlog);
-  void RecordRefusalOfWaiting(const JobState& job, SteadyTime last_useful_start,
-                              const Backlog& backlog, Now now);
+  void RecordRefusalOfWaiting(const JobState& job, const AdmissionRefusal& refusal,
+                              SteadyTime last_useful_start, const Backlog& backlog, Now now);
   std::chrono::milliseconds ReceiveDelayOfRequests() const;
 
   WorkerTable& m_workers;
@@ -72,7 +86,10 @@
   DecisionLog& m_log;
   /// For the log: which configuration decided on a request.
   Version m_plan_version = 0;
-  SteadyTime m_started_at;
+  /// Until then the workers known say little about the capacity.
+  SteadyTime m_capacity_known_from;
+  PauseDetector m_pauses;
+  ReturnSchedule m_returns;
   std::map<std::string, OwnShare, std::less<>> m_own_shares;
 };
 
--- a/src/dispatch/internal/shared_jobs.cpp
+++ b/src/dispatch/internal/shared_jobs.cpp
@@ -278,7 +278,8 @@
                  {{"reason", ErrorAnswerOf(ErrorKind::kNoCapacity).name},
                   {"queue", shared.queue.name},
                   {"sidecars", std::int64_t{0}}});
-    EndWithoutRun(shared, {0, JobEnd::kRefused, ErrorKind::kNoCapacity, kDefaultRetryAfter}, out);
+    // A sidecar that comes back reports within a presence period.
+    EndWithoutRun(shared, {0, JobEnd::kRefused, ErrorKind::kNoCapacity, kPresencePeriod}, out);
     return true;
   }
 
@@ -292,10 +293,10 @@
         !shared.may_run_elsewhere && std::ranges::all_of(shared.waiters, [&](const Waiter& waiter) {
           return now.steady > waiter.deadline - critical_path;
         });
+    // By the time of a retry, the claim of an entry that is gone has lapsed.
     const JobAnswered answer =
-        is_undecided
-            ? JobAnswered{0, JobEnd::kRefused, ErrorKind::kNotStartedInTime, kDefaultRetryAfter}
-            : JobAnswered{0, JobEnd::kGivenUp, ErrorKind::kDeadlineExceeded, std::nullopt};
+        is_undecided ? JobAnswered{0, JobEnd::kRefused, ErrorKind::kNotStartedInTime, kClaimLease}
+                     : JobAnswered{0, JobEnd::kGivenUp, ErrorKind::kDeadlineExceeded, std::nullopt};
     bool has_ended = false;
     for (const Waiter& waiter : std::vector<Waiter>(shared.waiters)) {
       if (!is_undecided && now.steady < waiter.deadline) continue;
--- a/src/dispatch/tests/entry_dispatcher_test.cpp
+++ b/src/dispatch/tests/entry_dispatcher_test.cpp
@@ -313,10 +313,14 @@
   // more, because it knows only the mean of what runs; the others cannot complete in time.
   BOOST_TEST(refused >= 30U);
   BOOST_TEST(refused <= 37U);
+  // They return one after the other, once the work before them leaves each enough time.
+  milliseconds last{0};
   for (const JobAnswered& answer : out.answers) {
     BOOST_TEST_REQUIRE(answer.retry_after.has_value());
-    BOOST_TEST((*answer.retry_after >= milliseconds(1'000)));
+    BOOST_TEST((*answer.retry_after > last));
+    last = *answer.retry_after;
   }
+  BOOST_TEST((last >= milliseconds(100) * static_cast<int>(out.answers.size() - 1)));
 }
 
 // Guards against a caller that waits for nothing: work that arrives later and comes first makes the
@@ -388,6 +392,35 @@
   BOOST_TEST(TakePlaced().size() == 1);
 }
 
+// Guards against a caller that is sent back to ask for what no worker can ever run, and against one
+// that waits for it.
+BOOST_AUTO_TEST_CASE(what_can_never_run_is_refused_without_a_time_to_return) {
+  Settle(Report("w1", 64'000, 64'000));
+  DispatchJob job = Job("a", 1, 1'000, milliseconds(100));
+  job.steps[0].required_label = "none";
+  Submit(1, std::move(job));
+  BOOST_TEST_REQUIRE(out.answers.size() == 1);
+  BOOST_TEST((out.answers[0].reason == ErrorKind::kCanNeverRun));
+  BOOST_TEST(!out.answers[0].retry_after.has_value());
+}
+
+// Guards against refusals by an entry that wakes: its workers only look silent, because their
+// reports have not been handled yet.
+BOOST_AUTO_TEST_CASE(a_pause_of_the_entry_is_not_taken_for_a_loss_of_the_workers) {
+  const WorkerReport busy = Report("w1", 64'000, 0);
+  Settle(busy);
+  Tick();
+  Submit(1, Job("a", 1, 1'000, milliseconds(100)), milliseconds(3'000));
+  time += milliseconds(1'500);
+  Tick();
+  Submit(2, Job("b", 1, 1'000, milliseconds(100)), milliseconds(3'000));
+  BOOST_TEST(out.answers.empty());
+  for (const SteadyTime end = time + kWorkerReportTimeout + kTick; time < end; time += kTick)
+    Tick();
+  Tick();
+  BOOST_TEST(out.answers.size() == 2U);
+}
+
 // Guards against a false "not run" answer: a job of which a task may have started must not be
 // refused.
 BOOST_AUTO_TEST_CASE(a_job_that_may_have_run_is_given_up_not_refused) {
@@ -398,6 +431,7 @@
   time += milliseconds(501);
   Tick();
   BOOST_TEST_REQUIRE(out.answers.size() == 2);
+  std::ranges::sort(out.answers, {}, &JobAnswered::request);
   BOOST_TEST((out.answers[0].end == JobEnd::kGivenUp));
   BOOST_TEST((out.answers[1].end == JobEnd::kRefused));
 }
--- a/src/dispatch/timing.h
+++ b/src/dispatch/timing.h
@@ -47,9 +47,6 @@
 /// it refuses jobs for lack of workers.
 inline constexpr std::chrono::milliseconds kStartupGracePeriod{2'000};
 
-/// Retry-After of a refusal; a longer forecast wait replaces it when a job is refused on arrival.
-inline constexpr std::chrono::milliseconds kDefaultRetryAfter{1'000};
-
 /// Period in which an entry renews its claims to jobs. Most jobs end before the first renewal.
 inline constexpr std::chrono::milliseconds kClaimRenewalPeriod{400};
 
