Let last attempts and tasks that run alone wait as long as their callers have time

What callers saw: a job whose task had one attempt left was given to a worker that may be faulty after 200 ms, and failed for good, although a sound worker was about to be free and the caller had seconds left. A task that runs alone was sent back after a second, whatever time its caller had.

Cause: kProvenWorkerWait ("a failed job is worth nothing, a late one something") and kAlonePlacementExpiry ("the longest of the users' usual tasks").

Fix: both wait until the step has to start to complete before the caller's deadline.

Evidence: a_last_attempt_waits_for_a_proven_worker_while_its_caller_has_time, which replaces a_last_attempt_takes_any_worker_when_the_wait_is_over (210 ms) with a bound on both sides, and a_task_that_runs_alone_waits_for_its_worker_while_its_caller_has_time failed on the code before.

--- a/src/dispatch/internal/entry_dispatcher.cpp
+++ b/src/dispatch/internal/entry_dispatcher.cpp
@@ -19,14 +19,9 @@
 using std::chrono::milliseconds;
 
 /// A placement whose capacity was taken by another entry's placement is returned after this time,
-/// about a round trip, so that the task can go to another worker. Values from 2 to 5 ms have
-/// much the same effect; 20 ms keeps the task from other workers for too long.
+/// about a round trip, so that the task can go to another worker.
 constexpr milliseconds kPlacementExpiry{5};
 
-/// A task that runs alone waits for this long until its worker is empty: the longest of the users'
-/// usual tasks.
-constexpr milliseconds kAlonePlacementExpiry{1'000};
-
 /// A placement younger than this may still be in transit or queued at its worker.
 constexpr milliseconds kMaxQueuedOrderAge{40};
 
@@ -34,9 +29,6 @@
 /// than the worker may be slow, and would never complete if it were restarted again and again.
 constexpr std::uint32_t kStalledTaskRunFactor = 8;
 
-/// A last attempt waits for a worker with recent successes for this long.
-constexpr milliseconds kProvenWorkerWait{200};
-
 /// A worker is removed after this long without contact.
 constexpr milliseconds kWorkerRetention{30'000};
 
@@ -490,11 +482,9 @@
     const std::uint32_t max_per_worker = job.job.steps[step].max_per_worker;
     const auto chosen = m_workers.Choose(requirements, max_per_worker, state.tasks_per_worker, now);
     if (chosen || !requirements.needs_proven_worker) return chosen;
-    if (!task.wait_for_proven_until) {
-      task.wait_for_proven_until = now.steady + kProvenWorkerWait;
-      ++m_counters.last_attempts_waited;
-    }
-    if (now.steady < *task.wait_for_proven_until && m_workers.HasProvenWorker(requirements, now))
+    if (!std::exchange(task.waited_for_proven_worker, true)) ++m_counters.last_attempts_waited;
+    // The job would fail for good with this attempt, so it waits as long as its callers have time.
+    if (now.steady < state.latest_start && m_workers.HasProvenWorker(requirements, now))
       return std::nullopt;
     requirements.needs_proven_worker = false;
     const auto any = m_workers.Choose(requirements, max_per_worker, state.tasks_per_worker, now);
@@ -561,8 +551,12 @@
       placement.demand = step.demand;
       placement.priority = job.queue.priority;
       placement.latest_start = Ms(state.latest_start - now.steady);
-      placement.expires = std::min(placement.alone ? kAlonePlacementExpiry : kPlacementExpiry,
-                                   Ms(job.LastDeadline() - now.steady));
+      // A task that runs alone waits until its worker is empty; later than its last useful start
+      // it would be of no use.
+      placement.expires = placement.alone
+                              ? std::max(kPlacementExpiry, Ms(state.last_useful_start - now.steady))
+                              : kPlacementExpiry;
+      placement.expires = std::min(placement.expires, Ms(job.LastDeadline() - now.steady));
       const WorkerRecord& worker = *m_workers.Find(target.first);
       m_counters.tasks_placed += placement.tasks.size();
       m_log.Record(DecisionClass::kRoutine, "tasks_placed", job.job.id,
--- a/src/dispatch/internal/job_state.h
+++ b/src/dispatch/internal/job_state.h
@@ -4,7 +4,6 @@
 #include <compare>
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <vector>
 
 #include "dispatch/dispatch_plan.h"
@@ -26,8 +25,8 @@
   NodeId avoid = 0;
   /// Endpoints have crashed under the task; it waits for a quarantined worker.
   bool is_suspect = false;
-  /// Until then the last attempt waits for a worker with recent successes; set when none was free.
-  std::optional<SteadyTime> wait_for_proven_until;
+  /// The last attempt has waited for a worker with recent successes.
+  bool waited_for_proven_worker = false;
 };
 
 struct StepState {
--- a/src/dispatch/tests/entry_dispatcher_test.cpp
+++ b/src/dispatch/tests/entry_dispatcher_test.cpp
@@ -703,24 +703,46 @@
   BOOST_TEST(dispatcher.counters().last_attempts_forced == 0U);
 }
 
-// Guards against a last attempt that waits until its caller has gone.
-BOOST_AUTO_TEST_CASE(a_last_attempt_takes_any_worker_when_the_wait_is_over) {
-  WorkerReport unknown = Report("w1", 64'000, 64'000);
+// Guards against a last attempt that goes to a worker without recent successes while its caller has
+// time, and against one that waits until its caller has gone.
+BOOST_AUTO_TEST_CASE(a_last_attempt_waits_for_a_proven_worker_while_its_caller_has_time) {
+  const WorkerReport unknown = Report("w1", 64'000, 64'000);
   WorkerReport proven = Report("w2", 64'000, 0);
   proven.load.recent_done = 100;
   ReceiveReport(kFirst, unknown);
   ReceiveReport(kSecond, proven);
-  Submit(1, Job("a", 1, 1'000, milliseconds(100)));
+  const SteadyTime latest_start = time + milliseconds(1'400);
+  Submit(1, Job("a", 1, 1'000, milliseconds(100)), milliseconds(1'500));
   End(kFirst, TakePlaced().at(0).second.order, TaskEnd::kFailed);
-  BOOST_TEST(TakePlaced().empty());
-  time += milliseconds(210);
-  ReceiveReport(kFirst, unknown);
-  ReceiveReport(kSecond, proven);
-  BOOST_TEST(TakePlaced().size() == 1U);
+  std::size_t placed = 0;
+  while (placed == 0 && time < latest_start + milliseconds(100)) {
+    time += kTick;
+    ReceiveReport(kFirst, unknown);
+    ReceiveReport(kSecond, proven);
+    placed = TakePlaced().size();
+  }
+  BOOST_TEST(placed == 1U);
+  BOOST_TEST((time >= latest_start));
+  BOOST_TEST((time < latest_start + kTick));
   BOOST_TEST(dispatcher.counters().last_attempts_forced == 1U);
   BOOST_TEST(std::ranges::count(log.events, "last_attempt_forced") == 1);
 }
 
+// Guards against a task that is sent back because its worker is not empty yet, although its caller
+// has time, or that waits there for longer than that.
+BOOST_AUTO_TEST_CASE(a_task_that_runs_alone_waits_for_its_worker_while_its_caller_has_time) {
+  ReceiveReport(kFirst, Report("w1", 64'000, 64'000));
+  for (std::uint64_t crash = 1; crash <= 2; ++crash) {
+    dispatcher.OnEndpointCrash(
+        {crash, {{{queue.address(), "a"}, 0, 0}, {{queue.address(), "beside"}, 0, 0}}}, now(), out);
+  }
+  Submit(1, Job("a", 1, 1'000, milliseconds(100)), milliseconds(1'500));
+  const auto placed = TakePlacements();
+  BOOST_TEST_REQUIRE(placed.size() == 1U);
+  BOOST_TEST(placed[0].alone);
+  BOOST_TEST((placed[0].expires == milliseconds(1'400)));
+}
+
 // Guards against urgent jobs that wait behind less urgent ones, against the operators' rule for
 // urgency ("0 comes first"), however long those have waited.
 BOOST_AUTO_TEST_CASE(waiting_jobs_are_placed_by_priority) {
