--- a/src/dispatch/dispatch_plan.h
+++ b/src/dispatch/dispatch_plan.h
@@ -19,7 +19,10 @@
   std::string service;
   /// Number of failed runs of one task after which the job fails.
   std::uint32_t max_attempts = 1;
-  /// A job's objective is stretch times the length of its critical path, plus target_latency.
+  /// How long a caller waits that does not tell it; 0 if the operators do not limit it.
+  std::chrono::milliseconds time_limit{0};
+  /// A job's objective is stretch times the length of its critical path, plus target_latency. It is
+  /// measured and reported; no decision depends on it.
   double stretch = 1.0;
   std::chrono::milliseconds target_latency{0};
   /// Urgency by the operators' rule; 0 is the most urgent.
