Count the urgent work that arrives in the forecast of less urgent jobs

What callers saw: under load a less urgent job was taken with a forecast of some 100 ms and refused much later, because more urgent jobs kept arriving ahead of it.

Cause: the forecast divided the work that waits by the whole capacity of the entry.

Fix: admission tracks the work that each priority brings over the last second; a forecast uses the capacity that the more urgent ones leave. The log lines of refusals show the work ahead (ahead_core_ms).

--- a/src/dispatch/internal/admission_forecast.h
+++ b/src/dispatch/internal/admission_forecast.h
@@ -16,6 +16,8 @@
   double capacity_millicores = 0;
   /// Share of what is committed there that this entry's orders hold.
   double own_share = 1;
+  /// Work that arrives meanwhile and comes first, in millicores x milliseconds a millisecond.
+  double arriving_millicores = 0;
 };
 
 /// Returns the expected wait until the last task of a new job starts; zero if no work is waiting.
@@ -24,6 +26,18 @@
 /// committed.
 std::chrono::milliseconds ForecastWait(const ForecastInput& input);
 
+/// Tracks how much work arrives, as the number of millicores that it keeps busy.
+class ArrivalRate {
+ public:
+  void Add(double millicore_ms, SteadyTime now);
+  double millicores(SteadyTime now) const;
+
+ private:
+  /// Sum of the work that has arrived, decaying with time.
+  double m_millicore_ms = 0;
+  SteadyTime m_updated_at;
+};
+
 /// Tracks which share of the committed capacity of a service this entry's orders hold. The share at
 /// one moment says little about the next second: it follows the ends of single jobs.
 class OwnShare {
--- a/src/dispatch/internal/entry_dispatcher.cpp
+++ b/src/dispatch/internal/entry_dispatcher.cpp
@@ -87,6 +87,7 @@
       return;
     }
 
+    m_admission.OnTaken(queue, job, now);
     JobState& state = m_jobs[name];
     state.name = name;
     state.sequence = ++m_last_sequence;
--- a/src/dispatch/internal/job_admission.cpp
+++ b/src/dispatch/internal/job_admission.cpp
@@ -22,6 +22,12 @@
          static_cast<double>(step.expected_run.count());
 }
 
+double MillicoreMsOf(const DispatchJob& job) {
+  double work = 0;
+  for (const JobStep& step : job.steps) work += MillicoreMsOf(step, step.count);
+  return work;
+}
+
 double MillicoreMsOf(const WaitingStep& waiting) {
   const JobStep& step = waiting.job->job.steps[waiting.step];
   // Suspects do not compete for the workers that others use.
@@ -68,6 +74,7 @@
                                              static_cast<double>(backlog.capacity.committed),
                                              now.steady);
     }
+    backlog.arriving_millicores = MoreUrgentArrivals(job.queue, now);
     // Several steps of one job may be waiting.
     if (std::ranges::find(refused, &job, &RefusedJob::job) != refused.end()) continue;
     const SteadyTime last_useful_start = job.steps[waiting.step].last_useful_start;
@@ -110,8 +117,7 @@
   if (reason == ErrorKind::kCanNeverRun) return {reason, std::nullopt};
   ReturningJob returning;
   Backlog own = backlog;
-  own.millicore_ms = 0;
-  for (const JobStep& step : job.steps) own.millicore_ms += MillicoreMsOf(step, step.count);
+  own.millicore_ms = MillicoreMsOf(job);
   returning.own_work = ForecastWaitBehind(own);
   // A worker that comes back reports within a presence period.
   returning.late_by = reason == ErrorKind::kNoCapacity
@@ -121,14 +127,29 @@
 }
 
 milliseconds JobAdmission::ForecastWaitBehind(const Backlog& backlog) {
-  return ForecastWait(
-      {backlog.millicore_ms, static_cast<double>(backlog.capacity.total), backlog.own_share});
+  return ForecastWait({backlog.millicore_ms, static_cast<double>(backlog.capacity.total),
+                       backlog.own_share, backlog.arriving_millicores});
 }
 
 JobAdmission::Backlog JobAdmission::BacklogOf(const std::string& service, Now now) const {
   const auto share = m_own_shares.find(service);
   return {m_workers.CapacityOf(service, now),
-          share == m_own_shares.end() ? 1 : share->second.value(), 0};
+          share == m_own_shares.end() ? 1 : share->second.value(), 0, 0};
+}
+
+double JobAdmission::MoreUrgentArrivals(const QueuePlan& queue, Now now) const {
+  const auto rates = m_arrivals.find(queue.service);
+  if (rates == m_arrivals.end()) return 0;
+  double millicores = 0;
+  for (const auto& [priority, rate] : rates->second) {
+    if (priority >= queue.priority) break;
+    millicores += rate.millicores(now.steady);
+  }
+  return millicores;
+}
+
+void JobAdmission::OnTaken(const QueuePlan& queue, const DispatchJob& job, Now now) {
+  m_arrivals[queue.service][queue.priority].Add(MillicoreMsOf(job), now.steady);
 }
 
 void JobAdmission::RecordRefusalOfWaiting(const JobState& job, const AdmissionRefusal& refusal,
@@ -139,6 +160,7 @@
                 {"queue", job.queue.name},
                 {"waited_ms", Ms(now.steady - job.submitted_at).count()},
                 {"wait_ms", ForecastWaitBehind(backlog).count()},
+                {"ahead_core_ms", static_cast<std::int64_t>(backlog.millicore_ms / 1'000)},
                 {"left_ms", Ms(last_useful_start - now.steady).count()},
                 {"deadline_ms", Ms(job.LastDeadline() - now.steady).count()},
                 {"retry_after_ms", refusal.retry_after.value_or(milliseconds(0)).count()},
@@ -156,6 +178,7 @@
   const WaitKey key{queue.priority, latest_start, UINT64_MAX, 0};
   Backlog backlog = BacklogOf(queue.service, now);
   backlog.millicore_ms = MillicoreMsAhead(waiting, queue.service, key);
+  backlog.arriving_millicores = MoreUrgentArrivals(queue, now);
   const auto reason = ReasonToRefuse(queue, job, backlog, latest_start, now);
   if (!reason) return std::nullopt;
   const AdmissionRefusal refusal = Refuse(*reason, queue, job, backlog, latest_start, now);
@@ -164,6 +187,7 @@
                 {"queue", queue.name},
                 {"plan", static_cast<std::int64_t>(m_plan_version)},
                 {"wait_ms", ForecastWaitBehind(backlog).count()},
+                {"ahead_core_ms", static_cast<std::int64_t>(backlog.millicore_ms / 1'000)},
                 {"receive_delay_ms", m_receive_delay.estimate().count()},
                 {"expected_ms", times.critical_path.count()},
                 {"deadline_ms", Ms(times.deadline - now.steady).count()},
--- a/src/dispatch/internal/job_admission.h
+++ b/src/dispatch/internal/job_admission.h
@@ -54,6 +54,9 @@
                                                const JobTimes& times, const WaitingSteps& waiting,
                                                Now now);
 
+  /// Counts the work of an admitted job, behind which less urgent ones wait.
+  void OnTaken(const QueuePlan& queue, const DispatchJob& job, Now now);
+
   /// Reviews the waiting jobs of which no task has started, given what has arrived since, and
   /// returns those that can no longer complete before their deadline.
   std::vector<RefusedJob> Review(const WaitingSteps& waiting, Now now);
@@ -64,6 +67,8 @@
     WorkerTable::ServiceCapacity capacity;
     double own_share = 1;
     double millicore_ms = 0;
+    /// Of work that arrives meanwhile and comes first.
+    double arriving_millicores = 0;
   };
 
   /// After a pause of this process the reports of the workers have not been handled yet.
@@ -76,6 +81,8 @@
   AdmissionRefusal Refuse(ErrorKind reason, const QueuePlan& queue, const DispatchJob& job,
                           const Backlog& backlog, SteadyTime last_useful_start, Now now);
   Backlog BacklogOf(const std::string& service, Now now) const;
+  /// Millicores that the arriving work of more urgent queues keeps busy.
+  double MoreUrgentArrivals(const QueuePlan& queue, Now now) const;
   static std::chrono::milliseconds ForecastWaitBehind(const Backlog& backlog);
   void RecordRefusalOfWaiting(const JobState& job, const AdmissionRefusal& refusal,
                               SteadyTime last_useful_start, const Backlog& backlog, Now now);
@@ -91,6 +98,8 @@
   PauseDetector m_pauses;
   ReturnSchedule m_returns;
   std::map<std::string, OwnShare, std::less<>> m_own_shares;
+  /// By service and priority.
+  std::map<std::string, std::map<std::uint32_t, ArrivalRate>, std::less<>> m_arrivals;
 };
 
 /// Requirements of a task of the step; `avoid` is the worker of its last attempt or 0.
--- a/src/dispatch/tests/dispatch_load_test.cpp
+++ b/src/dispatch/tests/dispatch_load_test.cpp
@@ -180,10 +180,12 @@
 
 // Guards against a forecast that includes capacity which goes to other entries.
 BOOST_AUTO_TEST_CASE(the_forecast_counts_on_the_entrys_own_share_of_the_room) {
-  ForecastInput input{1'000.0 * 64'000, 64'000, 1};
+  ForecastInput input{1'000.0 * 64'000, 64'000, 1, 0};
   BOOST_TEST((ForecastWait(input) == milliseconds(1'000)));
   input.own_share = 0.5;
   BOOST_TEST((ForecastWait(input) == milliseconds(2'000)));
+  input.arriving_millicores = 16'000;
+  BOOST_TEST((ForecastWait(input) == milliseconds(4'000)));
   input.ahead_millicore_ms = 0;
   BOOST_TEST((ForecastWait(input) == milliseconds(0)));
 }
--- a/src/dispatch/tests/entry_dispatcher_test.cpp
+++ b/src/dispatch/tests/entry_dispatcher_test.cpp
@@ -780,6 +780,36 @@
   BOOST_TEST((out.answers[0].end == JobEnd::kRefused));
 }
 
+// Guards against a caller that is taken and refused after a long wait, although it is known that
+// the arriving urgent work leaves too little: a fifth of the worker for less urgent jobs.
+BOOST_AUTO_TEST_CASE(the_forecast_counts_on_what_arriving_urgent_work_leaves) {
+  const WorkerReport free = Report("w1", 1'000, 1'000);
+  Settle(free);
+  RequestId request = 0;
+  for (int i = 0; i < 50; ++i) {
+    Submit(++request, Job("urgent" + std::to_string(i), 1, 1'000, milliseconds(80)));
+    const auto placed = TakePlaced();
+    BOOST_TEST_REQUIRE(placed.size() == 1U);
+    time += milliseconds(80);
+    End(kFirst, placed[0].second.order, TaskEnd::kDone);
+    time += milliseconds(20);
+    ReceiveReport(kFirst, free);
+    Tick();
+  }
+  ReceiveReport(kFirst, Report("w1", 1'000, 0));
+  out.answers.clear();
+  queue.priority = 1;
+  // Each of them waits for about a second for the 200 ms of the one before it.
+  for (int i = 0; i < 3; ++i) {
+    Submit(++request, Job("waiting" + std::to_string(i), 1, 1'000, milliseconds(200)),
+           milliseconds(2'500));
+  }
+  BOOST_TEST(out.answers.empty());
+  Submit(++request, Job("hopeless", 1, 1'000, milliseconds(200)), milliseconds(2'500));
+  BOOST_TEST_REQUIRE(out.answers.size() == 1U);
+  BOOST_TEST((out.answers[0].reason == ErrorKind::kDeadlineUnreachable));
+}
+
 // Guards against a request that younger ones of the same priority overtake without end: whose
 // caller has waited longest, and so has least time left, comes first, also when its objective has
 // passed and theirs has not.
