--- a/src/dispatch/internal/entry_dispatcher.cpp
+++ b/src/dispatch/internal/entry_dispatcher.cpp
@@ -511,7 +511,7 @@
       TaskProgress& task = state.tasks[index];
       TaskRequirements requirements = RequirementsOf(job.queue, step, task.avoid);
       requirements.needs_proven_worker = NeedsProvenWorker(job, task);
-      requirements.due = job.LastDeadline();
+      requirements.deadline = job.LastDeadline();
       std::optional<NodeId> chosen;
       if (task.is_suspect) {
         chosen = m_workers.ChooseQuarantined(requirements, step.max_per_worker,
--- a/src/dispatch/internal/job_admission.cpp
+++ b/src/dispatch/internal/job_admission.cpp
@@ -41,7 +41,7 @@
 double MillicoreMsAhead(const WaitingSteps& steps, std::string_view service, const WaitKey& job) {
   double ahead = 0;
   for (const auto& [key, waiting] : steps) {
-    if (key > job) break;
+    if (job < key) break;
     if (waiting.job->queue.service == service) ahead += MillicoreMsOf(waiting);
   }
   return ahead;
--- a/src/dispatch/internal/job_state.cpp
+++ b/src/dispatch/internal/job_state.cpp
@@ -1,16 +1,22 @@
 #include "dispatch/internal/job_state.h"
 
 #include <algorithm>
-#include <ranges>
+#include <utility>
 
 namespace foxtailrudder {
+namespace {
+
+using DeadlineOfRequest = std::pair<const RequestId, SteadyTime>;
+
+}  // namespace
 
 SteadyTime JobState::LastDeadline() const {
-  return std::ranges::max(requests | std::views::values);
+  return std::ranges::max_element(requests, {}, &DeadlineOfRequest::second)->second;
 }
 
 void JobState::SetStartTimes() {
-  const SteadyTime first_deadline = std::ranges::min(requests | std::views::values);
+  const SteadyTime first_deadline =
+      std::ranges::min_element(requests, {}, &DeadlineOfRequest::second)->second;
   const SteadyTime last_deadline = LastDeadline();
   const auto critical_paths = RemainingCriticalPaths(job.steps);
   for (std::size_t i = 0; i < steps.size(); ++i) {
--- a/src/dispatch/internal/job_state.h
+++ b/src/dispatch/internal/job_state.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include <chrono>
-#include <compare>
 #include <cstdint>
 #include <map>
+#include <tuple>
 #include <vector>
 
 #include "dispatch/dispatch_plan.h"
@@ -76,7 +76,10 @@
   std::uint64_t sequence = 0;
   std::uint32_t step = 0;
 
-  friend auto operator<=>(const WaitKey&, const WaitKey&) = default;
+  friend bool operator<(const WaitKey& left, const WaitKey& right) {
+    return std::tie(left.priority, left.latest_start, left.sequence, left.step) <
+           std::tie(right.priority, right.latest_start, right.sequence, right.step);
+  }
 };
 
 inline WaitKey KeyOf(const JobState& job, std::uint32_t step) {
--- a/src/dispatch/internal/worker_executor.cpp
+++ b/src/dispatch/internal/worker_executor.cpp
@@ -39,7 +39,8 @@
 constexpr milliseconds kRetryPause{20};
 
 /// The progress of a run is checked once it has taken this many times its expected run time, but
-/// not before kMinStallCheckTime: callers' estimates deviate by about 0.4.
+/// not before kMinStallCheckTime: callers' estimates are rough, and the share of the work that is
+/// done says little about a run that has just begun.
 constexpr double kStallFactor = 2.0;
 constexpr milliseconds kMinStallCheckTime{150};
 
--- a/src/dispatch/internal/worker_table.cpp
+++ b/src/dispatch/internal/worker_table.cpp
@@ -25,14 +25,13 @@
 /// entries do not all choose the same worker.
 constexpr double kTieBreakMs = 12;
 
-/// Penalty for workers outside the entry's own share. Larger than the effect of load and the random
-/// term, smaller than what a remote rack costs the shortest tasks (30 ms). Values from 20 to 50 ms
-/// have much the same effect.
+/// Penalty for workers outside the entry's own share: about what it costs to be sent back by a
+/// worker whose capacity another entry has taken. Larger than the effect of load and the random
+/// term.
 constexpr double kOutsideSharePenaltyMs = 25;
 
-/// Number of workers in an entry's subset: enough for the widest job of the users' sheets (32
-/// tasks, at least two to a worker) and for a share of the work several times the mean. The more
-/// entries use a worker, the older each one's view of it.
+/// Number of workers in an entry's subset. The more entries use a worker, the older each one's view
+/// of it; an entry whose subset is full borrows others.
 constexpr std::size_t kSubsetSize = 24;
 
 /// Workers borrowed at a time, how long each stays borrowed after its last use, and the pause in
@@ -338,7 +337,8 @@
     double run = static_cast<double>(requirements.expected_run.count()) * baseline *
                  DisturbanceFactor(worker);
     const bool is_in_time =
-        now.steady + std::chrono::milliseconds(static_cast<std::int64_t>(run)) <= requirements.due;
+        now.steady + std::chrono::milliseconds(static_cast<std::int64_t>(run)) <=
+        requirements.deadline;
     if (baseline > kDisturbedFactor && !is_in_time) continue;
     if (!requirements.preferred_rack.empty() &&
         !Contains(worker.report.labels, requirements.preferred_rack)) {
--- a/src/dispatch/internal/worker_table.h
+++ b/src/dispatch/internal/worker_table.h
@@ -61,9 +61,9 @@
   std::string_view preferred_rack;
   Resources demand;
   std::chrono::milliseconds expected_run{0};
-  /// When the job is due; a worker that is much slower than others by nature is chosen only if it
-  /// is expected to finish the task by then.
-  SteadyTime due = SteadyTime::max();
+  /// Until when a caller waits for the job; a worker that is much slower than others by nature is
+  /// chosen only if it is expected to finish the task by then.
+  SteadyTime deadline = SteadyTime::max();
   /// Worker on which the last attempt ended without success; chosen only if no other is suitable. 0
   /// if none.
   NodeId avoid = 0;
--- a/src/dispatch/tests/offline_ideal.cpp
+++ b/src/dispatch/tests/offline_ideal.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// Time windows are widened to multiples of this. That raises the bound only slightly, as
-/// objectives are 150 ms or longer.
+/// callers wait for hundreds of milliseconds at least.
 constexpr std::chrono::microseconds kSlotLength{20'000};
 
 /// Capacity left in every interval of the timeline. An amount of work fits into its time window if
--- a/src/dispatch/tests/offline_ideal.h
+++ b/src/dispatch/tests/offline_ideal.h
@@ -10,11 +10,11 @@
 struct ArrivedJob {
   std::string kind;
   std::chrono::microseconds arrived{0};
-  /// End of its objective.
+  /// Until when its caller waits.
   std::chrono::microseconds due{0};
   /// Work of all its tasks, in millicore seconds.
   double work = 0;
-  /// Value of the job if it completes within its objective.
+  /// Value of the job if it completes by then.
   double worth = 1;
 };
 
--- a/src/dispatch/tests/worker_executor_test.cpp
+++ b/src/dispatch/tests/worker_executor_test.cpp
@@ -252,7 +252,7 @@
 // Guards against a task of 60 ms that waits for several times its run time because its start gets
 // no answer: a list requested after the stop shows that it is not running. Seen on a day with
 // delayed orders.
-BOOST_AUTO_TEST_CASE(a_start_without_an_answer_is_settled_by_a_list_within_its_objective) {
+BOOST_AUTO_TEST_CASE(a_start_without_an_answer_is_settled_by_a_list) {
   Begin();
   Place(1, 6'000);
   out.starts.clear();
@@ -269,7 +269,7 @@
   BOOST_TEST_REQUIRE(!out.holds.empty());
   AnswerHold({}, {});
   BOOST_TEST(TakeReports().size() == 1);
-  // The shortest objective on the users' sheets is about 150 ms; half of it is left for the retry.
+  // The retry of a short task must not come later than the task itself would have ended.
   BOOST_TEST((passed <= milliseconds(75)));
 }
 
--- a/src/dispatch/tests/worker_table_test.cpp
+++ b/src/dispatch/tests/worker_table_test.cpp
@@ -291,9 +291,9 @@
   table.SetEvacuated({});
   table.Refresh(kNow);
   TaskRequirements urgent = Requirements(1);
-  urgent.due = kNow.steady + milliseconds(100);
+  urgent.deadline = kNow.steady + milliseconds(100);
   BOOST_TEST(!table.Choose(urgent, 0, {}, kNow).has_value());
-  urgent.due = kNow.steady + milliseconds(300);
+  urgent.deadline = kNow.steady + milliseconds(300);
   BOOST_TEST(table.Choose(urgent, 0, {}, kNow).value() == kFirstWorker);
 }
 
--- a/src/dispatch/timing.h
+++ b/src/dispatch/timing.h
@@ -4,8 +4,9 @@
 
 namespace foxtailrudder {
 
-/// Period of worker reports to an entry that wants them. Shorter than the shortest objective (about
-/// 150 ms), so that an entry sees recent free capacity although other entries use it too.
+/// Period of worker reports to an entry that wants them. Most tasks last 50 ms to a second; ends of
+/// runs are told at once, so this bounds how long an entry counts on capacity that others have
+/// used.
 inline constexpr std::chrono::milliseconds kReportPeriod{100};
 
 /// Period of worker reports to the other entries. They learn from them that the worker exists, and
