--- a/review/lab2/runner.py
+++ b/review/lab2/runner.py
@@ -32,6 +32,7 @@
 
     async def start(self):
         """Begins a new life, which knows nothing of the one before."""
+        self.is_down = False
         self.started = time.monotonic()
         self.born = int(time.time() * 1000)
         self.seq = 0
@@ -49,6 +50,7 @@
 
     async def crash(self):
         """Everything that runs ends without a trace, and the port has no listener."""
+        self.is_down = True
         for task in self.tasks:
             task.cancel()
         for run in list(self.runs.values()):
@@ -103,6 +105,8 @@
         self.lease_until_ms = max(self.lease_until_ms, min(until_ms, self.clock_ms() + 1000))
 
     async def handle(self, method, target, headers, body):
+        if self.is_down:
+            return None
         if method != "POST":
             return 404, b"{}"
         if headers.get("expect-instance", self.id) != self.id:
