--- a/review/lab2/runner.py
+++ b/review/lab2/runner.py
@@ -24,6 +24,9 @@
         self.zone, self.service, self.labels, self.record = zone, service, labels, record
         self.seconds_of, self.cpu, self.heartbeat_s = seconds_of, cpu, heartbeat_s
         self.demand_cpu = 6200
+        self.state = "ready"
+        # Of the time of day on the runner's machine.
+        self.clock_offset_ms = 0
         self.server = None
         self.tasks = []
 
@@ -34,7 +37,9 @@
         """Begins a new life, which knows nothing of the one before."""
         self.is_down = False
         self.started = time.monotonic()
-        self.born = int(time.time() * 1000)
+        self.born = int(time.time() * 1000) + self.clock_offset_ms
+        self.state = "ready"
+        self.draining_acknowledged = None
         self.seq = 0
         self.fence = 0
         self.runs = {}
@@ -68,16 +73,31 @@
     async def send_status(self):
         self.seq += 1
         status = {"service": self.service, "address": self.address, "zone": self.zone, "version": "v1", "slots": 8,
-                  "state": "ready", "cold_left_ms": 0, "capacity": {"cpu": self.cpu, "mem_mb": 131072, "gpu": 0},
+                  "state": self.state, "cold_left_ms": 0, "capacity": {"cpu": self.cpu, "mem_mb": 131072, "gpu": 0},
                   "labels": self.labels, "clock_ms": self.clock_ms(), "born": self.born, "seq": self.seq}
+        state = self.state
         try:
             code, _, _ = await call(self.sidecar_control, "POST", f"/Instances.Heartbeat/{self.id}",
                                     body=json.dumps(status).encode(), timeout=1.0)
             if self.seq == 1:
                 self.record.note("status_acknowledged", runner=self.id, labels=self.labels, code=code)
+            if state == "draining" and code == 200 and self.draining_acknowledged is None:
+                self.draining_acknowledged = self.record.note("draining_acknowledged", runner=self.id, seq=status["seq"])["t"]
         except (OSError, asyncio.TimeoutError):
             pass
 
+    async def drain(self, serve_s):
+        """A planned end: reports `draining`, serves on for a while after the acknowledgement, says that it leaves and ends."""
+        self.state = "draining"
+        await self.send_status()
+        self.record.note("drains", runner=self.id)
+        await asyncio.sleep(serve_s)
+        try:
+            await call(self.sidecar_control, "POST", f"/Instances.Leave/{self.id}", body=b"{}", timeout=1.0)
+        except (OSError, asyncio.TimeoutError):
+            pass
+        await self.crash()
+
     async def watch_leases(self):
         while True:
             await asyncio.sleep(0.005)
