--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,4 +1,7 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the restarts out.
 cd "$(dirname "$0")/../.." || exit 2
-exec timeout -k 5 115 python3 review/7/case.py
+timeout -k 4 114 python3 review/7/case.py
+status=$?
+[ "$status" -le 2 ] || status=2
+exit "$status"
--- a/review/lab2/fleet.py
+++ b/review/lab2/fleet.py
@@ -11,6 +11,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 
 from .store import Store
 from .web import call
@@ -193,3 +194,18 @@
             if attempt + 1 < attempts:
                 await asyncio.sleep(1.3)
         return status
+
+
+def run_case(play):
+    """Returns the exit status of a script: that of play(), or 2 if it could not run to its end."""
+    async def main():
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+        return await play()
+
+    try:
+        return asyncio.run(main())
+    except asyncio.CancelledError:
+        print("the case could not run: out of time")
+    except Exception:  # pylint: disable=broad-except
+        traceback.print_exc()
+    return 2
