Do not parse the last chunk of a body before it is complete

What callers saw: a client that sent an empty chunked body byte by byte ended the entry, and all its callers lost their connections. Cause: the HTTP library asserts that a last chunk which it has seen in part continues with five bytes; assertions are kept in all our builds. Why it works: within a chunked body the parser is given at least five bytes. Every such message ends with as many.

--- a/src/http/internal/message_reader.h
+++ b/src/http/internal/message_reader.h
@@ -60,7 +60,7 @@
 
   /// Reads what the buffer holds and consumes it.
   MessageStatus Parse(boost::beast::flat_buffer& buffer) {
-    while (buffer.size() > 0) {
+    while (buffer.size() >= MinParseBytes()) {
       const bool had_header = m_parser.is_header_done();
       boost::system::error_code error;
       const std::size_t used = m_parser.put(buffer.data(), error);
@@ -110,6 +110,14 @@
   static constexpr std::size_t kLargeReadBytes = 16U << 10U;
   /// Memory for a header field beside its name and value.
   static constexpr std::size_t kFieldOverheadBytes = 96;
+  /// Size of the shortest last chunk with an empty trailer. Every message with chunks ends with at
+  /// least as many bytes, so waiting for them never takes too long.
+  static constexpr std::size_t kMinLastChunkBytes = 5;
+
+  /// Beast asserts that a last chunk which it has seen in part continues with this many bytes.
+  std::size_t MinParseBytes() const {
+    return m_parser.is_header_done() && m_parser.chunked() ? kMinLastChunkBytes : 1;
+  }
 
   std::size_t CountFields() const {
     const auto& fields = m_parser.get().base();
--- a/src/http/tests/http_test.cpp
+++ b/src/http/tests/http_test.cpp
@@ -306,6 +306,22 @@
   }
 }
 
+// Guards against an assertion of the parser that fails when a last chunk without data before it
+// arrives in pieces.
+BOOST_AUTO_TEST_CASE(a_last_chunk_may_arrive_in_pieces) {
+  Recorder handler;
+  const auto server = Serve(handler);
+  RawClient client(server->address());
+  client.socket.set_option(tcp::no_delay(true));
+  client.Write("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n");
+  for (const char* piece : {"0\r\n", "\r", "\n"}) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    client.Write(piece);
+  }
+  BOOST_TEST_REQUIRE(handler.WaitForRequests(1));
+  BOOST_TEST(handler.requests[0].body.empty());
+}
+
 // Guards against many small header fields, which take far more memory than bytes.
 BOOST_AUTO_TEST_CASE(header_fields_are_bounded) {
   Recorder handler;
