Let connections without a request make room for new ones

What callers saw: a crowd of idle connections kept new callers out until the idle time-out, and left the process no descriptor for its own connections. Cause: at the limit of connections, and when descriptors ran out, those that came first kept their places. The unit test does not compile before, because it reads the new counter. Why it works: a new connection takes the place of one that is being closed, else of the one idle longest, else of the one whose request has been incomplete longest. A complete request keeps its place.

--- a/src/http/internal/server.cpp
+++ b/src/http/internal/server.cpp
@@ -12,10 +12,10 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <condition_variable>
+#include <list>
 #include <mutex>
 #include <optional>
 #include <thread>
-#include <unordered_set>
 #include <utility>
 
 #include "http/internal/address.h"
@@ -38,9 +38,6 @@
 /// time: closing a socket with unread bytes resets the connection, which may destroy the response
 /// in transit. This matters when a request is rejected before it was read completely.
 constexpr std::chrono::milliseconds kLingerTimeout{1000};
-/// Maximum number of connections over the limit that are sent a 503 response at the same time.
-/// Further ones are closed without a response.
-constexpr std::size_t kMaxRejectedSessions = 64;
 constexpr std::chrono::milliseconds kDisconnectCheckPeriod{100};
 constexpr std::size_t kDiscardBufferBytes = 16U << 10U;
 
@@ -55,9 +52,19 @@
   return response;
 }
 
+bool IsOutOfDescriptors(error_code error) {
+  return error == asio::error::no_descriptors ||
+         error == boost::system::errc::too_many_files_open_in_system;
+}
+
 bool MayHaveBody(unsigned status) { return status >= 200 && status != 204 && status != 304; }
 
 enum class SessionState : std::uint8_t { kIdle, kReading, kWaiting, kWriting, kLingering, kClosed };
+constexpr std::size_t kSessionStateCount = 6;
+
+struct Session;
+using SessionPtr = std::shared_ptr<Session>;
+using SessionList = std::list<SessionPtr>;
 
 struct Session {
   explicit Session(asio::io_context& io) : socket(io), timer(io) {}
@@ -69,6 +76,8 @@
   http::response<http::string_body> response;
   std::string remote;
   SessionState state = SessionState::kIdle;
+  /// In the list of the sessions in this state.
+  SessionList::iterator position;
   HttpRequestId request = 0;
   unsigned version = 11;
   bool keep_alive = true;
@@ -77,8 +86,6 @@
   bool rejected = false;
 };
 
-using SessionPtr = std::shared_ptr<Session>;
-
 }  // namespace
 
 class HttpServer::Impl : public std::enable_shared_from_this<HttpServer::Impl> {
@@ -135,11 +142,9 @@
       error_code ignored;
       m_acceptor.close(ignored);
       m_accept_timer.cancel();
-      const auto sessions = m_sessions;
+      const auto sessions = SessionsIn(SessionState::kIdle);
       for (const SessionPtr& session : sessions) {
-        if (session->state == SessionState::kIdle) {
-          Close(session);
-        }
+        Close(session);
       }
       SignalIfDrained();
     });
@@ -182,6 +187,7 @@
     counters.requests = m_requests;
     counters.connections_open = m_open_connections;
     counters.connections_refused = m_refused_connections;
+    counters.connections_evicted = m_evicted_connections;
     counters.requests_refused = m_refused_requests;
     counters.clients_disconnected = m_clients_disconnected;
     counters.received_bytes = m_received_bytes;
@@ -192,9 +198,11 @@
  private:
   void CloseSessions() {
     m_closing_sessions = true;
-    const auto sessions = m_sessions;
-    for (const SessionPtr& session : sessions) {
-      Close(session);
+    for (const SessionList& list : m_sessions) {
+      const auto sessions = list;
+      for (const SessionPtr& session : sessions) {
+        Close(session);
+      }
     }
     m_work_guard.reset();
   }
@@ -206,7 +214,11 @@
         return;
       }
       if (error) {
-        // For example, no file descriptors are left. The delay avoids a busy loop.
+        if (IsOutOfDescriptors(error) && EvictConnection()) {
+          Accept();
+          return;
+        }
+        // The delay avoids a busy loop.
         m_accept_timer.expires_after(std::chrono::milliseconds(50));
         m_accept_timer.async_wait([this](error_code cancelled) {
           if (!cancelled) {
@@ -225,40 +237,79 @@
     session->socket.set_option(tcp::no_delay(true), ignored);
     session->socket.set_option(asio::socket_base::keep_alive(true), ignored);
     session->remote = http_internal::AddressText(session->socket.remote_endpoint(ignored));
-    if (m_sessions.size() - m_rejected_sessions < m_config.max_connections) {
-      Track(session);
+    if (CanAdmit()) {
+      AddSession(session);
       WaitForRequest(session);
       return;
     }
     ++m_refused_connections;
     const Error error{ErrorKind::kNoCapacity, "Too many connections"};
     m_handler.OnRequestRefused(error, session->remote);
-    if (m_rejected_sessions < kMaxRejectedSessions) {
+    if (m_rejected_sessions < m_config.max_rejected_connections) {
       ++m_rejected_sessions;
       session->rejected = true;
-      Track(session);
+      AddSession(session);
       session->keep_alive = false;
       Write(session, ProblemResponse(503, error));
     }
   }
 
-  void Track(const SessionPtr& session) {
-    m_sessions.insert(session);
-    m_open_connections = m_sessions.size();
+  bool CanAdmit() {
+    return m_open_connections - m_rejected_sessions < m_config.max_connections || EvictConnection();
+  }
+
+  /// Closes the connection that makes the least use of its place, so that a new one can have it:
+  /// one that is being closed anyway, else the one that has been idle longest, else the one whose
+  /// request has been incomplete longest. Returns false if there is none.
+  bool EvictConnection() {
+    for (const SessionState state :
+         {SessionState::kLingering, SessionState::kIdle, SessionState::kReading}) {
+      for (const SessionPtr& session : SessionsIn(state)) {
+        // Has no place among the admitted ones.
+        if (session->rejected) continue;
+        const SessionPtr evicted = session;
+        if (state == SessionState::kReading) {
+          CountRefusal(evicted, {ErrorKind::kNoCapacity, "Too many connections"});
+        }
+        if (state != SessionState::kLingering) {
+          ++m_evicted_connections;
+        }
+        Close(evicted);
+        return true;
+      }
+    }
+    return false;
+  }
+
+  SessionList& SessionsIn(SessionState state) {
+    return m_sessions.at(static_cast<std::size_t>(state));
+  }
+
+  void AddSession(const SessionPtr& session) {
+    SessionList& list = SessionsIn(session->state);
+    session->position = list.insert(list.end(), session);
+    ++m_open_connections;
+  }
+
+  void SetState(const SessionPtr& session, SessionState state) {
+    SessionList& target = SessionsIn(state);
+    target.splice(target.end(), SessionsIn(session->state), session->position);
+    session->state = state;
   }
 
   /// Closes a session. Idempotent. If its request awaits a response, reports that the client has
   /// disconnected, unless the server itself closes all sessions.
   void Close(const SessionPtr& session) {
-    const SessionState before = std::exchange(session->state, SessionState::kClosed);
+    const SessionState before = session->state;
     if (before == SessionState::kClosed) {
       return;
     }
+    SessionsIn(before).erase(session->position);
+    --m_open_connections;
+    session->state = SessionState::kClosed;
     error_code ignored;
     session->timer.cancel();
     session->socket.close(ignored);
-    m_sessions.erase(session);
-    m_open_connections = m_sessions.size();
     ReleaseRequest(session);
     if (session->rejected) {
       --m_rejected_sessions;
@@ -271,7 +322,7 @@
   }
 
   void SignalIfDrained() {
-    if (m_stopping && m_sessions.empty()) {
+    if (m_stopping && m_open_connections == 0) {
       const std::lock_guard lock(m_drained_mutex);
       m_drained = true;
       m_drained_condition.notify_all();
@@ -307,7 +358,7 @@
     }
     // A buffer that has grown would stay as large for the life of the connection.
     ReleaseRequest(session);
-    session->state = SessionState::kIdle;
+    SetState(session, SessionState::kIdle);
     SetTimer(session, m_config.idle_timeout);
     session->socket.async_wait(tcp::socket::wait_read, [this, session](error_code error) {
       if (session->state != SessionState::kIdle) {
@@ -322,7 +373,7 @@
   }
 
   void ReadHeader(const SessionPtr& session) {
-    session->state = SessionState::kReading;
+    SetState(session, SessionState::kReading);
     session->timed_out = false;
     SetTimer(session, m_config.read_timeout);
     session->reader.emplace(http_internal::MessageLimits{
@@ -440,7 +491,7 @@
     session->keep_alive = message.keep_alive();
     session->head_request = message.method() == http::verb::head;
     session->request = ++m_last_request;
-    session->state = SessionState::kWaiting;
+    SetState(session, SessionState::kWaiting);
     session->timer.cancel();
     ++m_requests;
 
@@ -496,7 +547,7 @@
       error_code ignored;
       session->socket.cancel(ignored);
     }
-    session->state = SessionState::kWriting;
+    SetState(session, SessionState::kWriting);
     SetTimer(session, m_config.read_timeout);
     const bool keep_alive = session->keep_alive && !m_stopping && !m_keep_alive_disabled;
     if (!keep_alive) {
@@ -541,7 +592,7 @@
   void Linger(const SessionPtr& session) {
     error_code error;
     session->socket.shutdown(tcp::socket::shutdown_send, error);
-    session->state = SessionState::kLingering;
+    SetState(session, SessionState::kLingering);
     SetTimer(session, kLingerTimeout);
     Discard(session);
   }
@@ -572,13 +623,15 @@
   std::atomic<std::uint64_t> m_requests{0};
   std::atomic<std::uint64_t> m_open_connections{0};
   std::atomic<std::uint64_t> m_refused_connections{0};
+  std::atomic<std::uint64_t> m_evicted_connections{0};
   std::atomic<std::uint64_t> m_refused_requests{0};
   std::atomic<std::uint64_t> m_clients_disconnected{0};
   std::atomic<std::uint64_t> m_received_bytes{0};
   std::atomic<std::uint64_t> m_sent_bytes{0};
 
   // Accessed only on the I/O thread.
-  std::unordered_set<SessionPtr> m_sessions;
+  /// By state, each in the order in which the sessions have entered it.
+  std::array<SessionList, kSessionStateCount> m_sessions;
   std::size_t m_rejected_sessions = 0;
   HttpRequestId m_last_request = 0;
   bool m_stopping = false;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -59,7 +59,12 @@
   /// Of the start line and the header fields; also of the header of a chunk, and of the trailer.
   std::size_t max_header_bytes = 16U << 10U;
   std::size_t max_header_fields = 100;
+  /// At the limit, a new connection takes the place of one without a complete request, if there is
+  /// one.
   std::size_t max_connections = 4096;
+  /// Maximum number of connections over the limit that are sent a 503 response at the same time.
+  /// Further ones are closed without a response.
+  std::size_t max_rejected_connections = 64;
   /// Limit for receiving a request, from its first byte to its last, and for writing a response.
   std::chrono::milliseconds read_timeout{5000};
   /// A connection without a request is closed after this time.
@@ -88,6 +93,8 @@
   std::uint64_t connections_open = 0;
   /// Connections rejected because max_connections was reached.
   std::uint64_t connections_refused = 0;
+  /// Connections without a complete request that were closed in favour of new ones.
+  std::uint64_t connections_evicted = 0;
   /// Requests that exceeded a limit, were malformed or incomplete, or timed out.
   std::uint64_t requests_refused = 0;
   std::uint64_t clients_disconnected = 0;
--- a/src/http/tests/http_test.cpp
+++ b/src/http/tests/http_test.cpp
@@ -334,6 +334,37 @@
   BOOST_TEST(handler.requests.empty());
 }
 
+// Guards against ordinary clients that are kept out by connections without a request: those that
+// have been idle longest make room, then those whose request has been incomplete longest.
+BOOST_AUTO_TEST_CASE(connections_without_a_request_make_room) {
+  Recorder handler;
+  HttpServerConfig config;
+  config.max_connections = 3;
+  const auto server = Serve(handler, config);
+  RawClient reading(server->address());
+  reading.Write("GET / HT");
+  RawClient idle(server->address());
+  RawClient waiting(server->address());
+  waiting.Write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  BOOST_TEST_REQUIRE(handler.WaitForRequests(1));
+  RawClient second(server->address());
+  second.Write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  BOOST_TEST(idle.ReadToEnd().empty());
+  BOOST_TEST_REQUIRE(handler.WaitForRequests(2));
+  RawClient third(server->address());
+  third.Write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  BOOST_TEST(reading.ReadToEnd().empty());
+  BOOST_TEST_REQUIRE(handler.WaitForRequests(3));
+  // All others have a complete request, which nobody may break off.
+  RawClient refused(server->address());
+  BOOST_TEST(refused.ReadToEnd().starts_with("HTTP/1.1 503"));
+  BOOST_TEST(server->counters().connections_evicted == 2U);
+  BOOST_TEST(server->counters().connections_refused == 1U);
+  for (const HttpResponder& responder : handler.responders) {
+    BOOST_TEST(responder.Respond({.body = "{}"}));
+  }
+}
+
 // Guards against a client that is not subject to the time limit of a request because there is
 // always something to read.
 BOOST_AUTO_TEST_CASE(a_steady_sender_reaches_the_time_limit) {
