Limit the memory of all unfinished requests together

What callers saw: requests that are within their limit each, and never completed, took all memory of an entry together. Cause: limits per request only; their sum over all connections was many times the memory of a machine. Why it works: the memory is counted over all connections, and over the limit the request that holds most is refused as not run. An ordinary request is small, so it does not pay for a crowd.

--- a/src/http/internal/server.cpp
+++ b/src/http/internal/server.cpp
@@ -73,6 +73,8 @@
   asio::steady_timer timer;
   beast::flat_buffer buffer;
   std::optional<RequestReader> reader;
+  /// Counted memory of the buffer and of the request that is being read.
+  std::size_t held_bytes = 0;
   http::response<http::string_body> response;
   std::string remote;
   SessionState state = SessionState::kIdle;
@@ -189,6 +191,8 @@
     counters.connections_refused = m_refused_connections;
     counters.connections_evicted = m_evicted_connections;
     counters.requests_refused = m_refused_requests;
+    counters.requests_evicted = m_evicted_requests;
+    counters.held_bytes = m_held_bytes;
     counters.clients_disconnected = m_clients_disconnected;
     counters.received_bytes = m_received_bytes;
     counters.sent_bytes = m_sent_bytes;
@@ -405,7 +409,9 @@
     if (status == MessageStatus::kHeaderComplete) {
       const auto& header = session->reader->message();
       if (beast::iequals(header[http::field::expect], "100-continue")) {
-        SendContinue(session);
+        if (CountHeldBytes(session)) {
+          SendContinue(session);
+        }
         return;
       }
       status = session->reader->Parse(session->buffer);
@@ -413,7 +419,9 @@
     switch (status) {
       case MessageStatus::kHeaderComplete:
       case MessageStatus::kIncomplete:
-        ReadSome(session);
+        if (CountHeldBytes(session)) {
+          ReadSome(session);
+        }
         break;
       case MessageStatus::kComplete:
         Dispatch(session);
@@ -464,11 +472,42 @@
     Close(session);
   }
 
+  /// Updates the counted memory of a session whose request is being read. While all of them hold
+  /// more than the limit, refuses the request that holds most: an ordinary one is small, and its
+  /// client does not pay for others. Returns false if that is the request of this session.
+  bool CountHeldBytes(const SessionPtr& session) {
+    SetHeldBytes(session, session->buffer.capacity() + session->reader->held_bytes());
+    while (m_held_bytes > m_config.max_held_bytes) {
+      const SessionList& reading = SessionsIn(SessionState::kReading);
+      const SessionPtr largest = *std::ranges::max_element(
+          reading, {}, [](const SessionPtr& other) { return other->held_bytes; });
+      ++m_evicted_requests;
+      const Error error{ErrorKind::kNoCapacity, "No memory left for unfinished requests"};
+      CountRefusal(largest, error);
+      error_code ignored;
+      largest->socket.cancel(ignored);
+      HttpResponse response = ProblemResponse(503, error);
+      response.headers.Add("Retry-After", "1");
+      largest->keep_alive = false;
+      Write(largest, std::move(response));
+      if (largest == session) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  void SetHeldBytes(const SessionPtr& session, std::size_t bytes) {
+    m_held_bytes += bytes;
+    m_held_bytes -= std::exchange(session->held_bytes, bytes);
+  }
+
   /// Frees the memory of a request that is answered or given up.
   void ReleaseRequest(const SessionPtr& session) {
     session->reader.reset();
     session->buffer.clear();
     session->buffer.shrink_to_fit();
+    SetHeldBytes(session, 0);
   }
 
   void CountRefusal(const SessionPtr& session, const Error& error) {
@@ -487,6 +526,7 @@
     session->reader.reset();
     // May hold the beginning of the next request.
     session->buffer.shrink_to_fit();
+    SetHeldBytes(session, session->buffer.capacity());
     session->version = message.version();
     session->keep_alive = message.keep_alive();
     session->head_request = message.method() == http::verb::head;
@@ -625,6 +665,8 @@
   std::atomic<std::uint64_t> m_refused_connections{0};
   std::atomic<std::uint64_t> m_evicted_connections{0};
   std::atomic<std::uint64_t> m_refused_requests{0};
+  std::atomic<std::uint64_t> m_evicted_requests{0};
+  std::atomic<std::uint64_t> m_held_bytes{0};
   std::atomic<std::uint64_t> m_clients_disconnected{0};
   std::atomic<std::uint64_t> m_received_bytes{0};
   std::atomic<std::uint64_t> m_sent_bytes{0};
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -59,6 +59,8 @@
   /// Of the start line and the header fields; also of the header of a chunk, and of the trailer.
   std::size_t max_header_bytes = 16U << 10U;
   std::size_t max_header_fields = 100;
+  /// Limit of the memory of all unfinished requests together. Over it, the largest is refused.
+  std::size_t max_held_bytes = 64U << 20U;
   /// At the limit, a new connection takes the place of one without a complete request, if there is
   /// one.
   std::size_t max_connections = 4096;
@@ -97,6 +99,10 @@
   std::uint64_t connections_evicted = 0;
   /// Requests that exceeded a limit, were malformed or incomplete, or timed out.
   std::uint64_t requests_refused = 0;
+  /// Of these, the ones refused because unfinished requests held max_held_bytes.
+  std::uint64_t requests_evicted = 0;
+  /// Memory of the unfinished requests.
+  std::uint64_t held_bytes = 0;
   std::uint64_t clients_disconnected = 0;
   /// Bytes of complete requests and of responses, without the headers of TCP and IP.
   std::uint64_t received_bytes = 0;
--- a/src/http/tests/http_test.cpp
+++ b/src/http/tests/http_test.cpp
@@ -365,6 +365,35 @@
   }
 }
 
+// Guards against unfinished requests that are within their limit each and take all memory
+// together: the largest is refused, and a small one is served.
+BOOST_AUTO_TEST_CASE(memory_of_unfinished_requests_is_bounded) {
+  Recorder handler;
+  HttpServerConfig config;
+  config.max_body_bytes = 200'000;
+  config.max_held_bytes = 500'000;
+  const auto server = Serve(handler, config);
+  const std::string header = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: ";
+  RawClient largest(server->address());
+  largest.Write(header + "190000\r\n\r\n" + std::string(100'000, 'x'));
+  RawClient second(server->address());
+  second.Write(header + "180000\r\n\r\nx");
+  RawClient small(server->address());
+  small.Write(header + "100\r\n\r\nx");
+  while (server->counters().held_bytes < 370'000) std::this_thread::yield();
+  RawClient third(server->address());
+  third.Write(header + "170000\r\n\r\nx");
+  const std::string response = largest.ReadToEnd();
+  BOOST_TEST(response.starts_with("HTTP/1.1 503"), response);
+  BOOST_TEST(response.find("Retry-After: 1") != std::string::npos);
+  BOOST_TEST(response.find("\"not_run\":true") != std::string::npos);
+  small.Write(std::string(99, 'x'));
+  BOOST_TEST_REQUIRE(handler.WaitForRequests(1));
+  BOOST_TEST(handler.responders[0].Respond({.body = "{}"}));
+  BOOST_TEST(server->counters().requests_evicted == 1U);
+  BOOST_TEST(server->counters().held_bytes <= config.max_held_bytes);
+}
+
 // Guards against a client that is not subject to the time limit of a request because there is
 // always something to read.
 BOOST_AUTO_TEST_CASE(a_steady_sender_reaches_the_time_limit) {
