Take the limits for clients from the machine, and test clients that keep to none

The limits that the server has gained by now were constants, as those of connections were, on machines that differ: 4,096 callers, as many readiness checks and as many readers of metrics, where all have 3,075 to 4,100 descriptors together and 120 to 512 MB. Fix: ProcessLimits divides memory and descriptors, from the settings or else from the machine, and leaves a part of both to the process. An ordinary caller reaches none of the limits.

--- a/src/app/internal/dispatch_entry_app.cpp
+++ b/src/app/internal/dispatch_entry_app.cpp
@@ -16,6 +16,8 @@
 
 constexpr milliseconds kRegisterRetry{500};
 
+constexpr std::size_t kMaxBodyBytes = 1U << 20U;
+
 /// Reports to other entries in a report period. With more entries, each is reported to less often.
 constexpr std::size_t kEntryReportsPerRound = 12;
 
@@ -42,6 +44,7 @@
     const std::function<EntryAdapters(boost::asio::io_context&)>& make_adapters)
     : DispatchProcess(std::move(config)),
       m_settings(settings),
+      m_limits(ProcessLimits::Create(settings.clients)),
       m_adapters(make_adapters(loop())),
       m_dispatcher(self(), log(), settings.remote_rack_factor),
       m_shared_jobs(self(), m_dispatcher, log()),
@@ -53,23 +56,21 @@
   m_store_answered_at = now.steady;
   m_status_handler = std::make_unique<PageHandler>(
       [this](const HttpRequest& request) { return StatusPage(request); });
-  const auto open = [this](const std::string& address, HttpHandler& handler,
+  const auto open = [this](HttpServerConfig config, HttpHandler& handler,
                            std::unique_ptr<HttpServer>* server) -> std::optional<Error> {
-    HttpServerConfig config;
-    config.address = address;
     config.loop = &loop();
-    config.max_body_bytes = 1U << 20U;
     auto created = HttpServer::Create(config, handler);
     if (auto* error = std::get_if<Error>(&created)) return std::move(*error);
     *server = std::get<std::unique_ptr<HttpServer>>(std::move(created));
     return std::nullopt;
   };
-  if (auto error = open(m_settings.caller_address, *this, &m_callers)) return error;
-  if (auto error = open(m_settings.readiness_address, *m_status_handler, &m_readiness)) {
-    return error;
-  }
+  const HttpServerConfig callers = m_limits.ClientServer(m_settings.caller_address, kMaxBodyBytes);
+  if (auto error = open(callers, *this, &m_callers)) return error;
+  const HttpServerConfig readiness = m_limits.PageServer(m_settings.readiness_address);
+  if (auto error = open(readiness, *m_status_handler, &m_readiness)) return error;
   if (!m_settings.metrics_address.empty()) {
-    if (auto error = open(m_settings.metrics_address, *m_status_handler, &m_metrics)) return error;
+    const HttpServerConfig metrics = m_limits.PageServer(m_settings.metrics_address);
+    if (auto error = open(metrics, *m_status_handler, &m_metrics)) return error;
   }
   m_watcher.Start();
   RegisterAddress();
--- a/src/app/internal/dispatch_entry_app.h
+++ b/src/app/internal/dispatch_entry_app.h
@@ -7,6 +7,7 @@
 #include "app/dispatch_adapters.h"
 #include "app/internal/dispatch_process.h"
 #include "app/internal/page_handler.h"
+#include "app/internal/process_limits.h"
 #include "app/internal/state_watcher.h"
 #include "config/config.h"
 
@@ -53,6 +54,7 @@
   std::string Metrics() const;
 
   const DispatchEntrySettings m_settings;
+  const ProcessLimits m_limits;
   EntryAdapters m_adapters;
   EntryDispatcher m_dispatcher;
   SharedJobs m_shared_jobs;
--- a/src/app/internal/dispatch_sidecar_app.cpp
+++ b/src/app/internal/dispatch_sidecar_app.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "app/internal/process_limits.h"
+
 namespace foxtailrudder {
 namespace {
 
@@ -17,6 +19,8 @@
 /// The process ends this long before the stop grace period is over.
 constexpr milliseconds kStopMargin{700};
 
+constexpr std::size_t kMaxBodyBytes = 256U << 10U;
+
 }  // namespace
 
 DispatchSidecarApp::DispatchSidecarApp(
@@ -30,10 +34,9 @@
       m_fencing_token(ReadBootClocks().wall) {}
 
 std::optional<Error> DispatchSidecarApp::Start(Now now) {
-  HttpServerConfig config;
-  config.address = m_settings.announce_address;
+  const auto limits = ProcessLimits::Create(m_settings.clients);
+  HttpServerConfig config = limits.ClientServer(m_settings.announce_address, kMaxBodyBytes);
   config.loop = &loop();
-  config.max_body_bytes = 256U << 10U;
   auto created = HttpServer::Create(config, *this);
   if (auto* error = std::get_if<Error>(&created)) return std::move(*error);
   m_announcements = std::get<std::unique_ptr<HttpServer>>(std::move(created));
@@ -43,7 +46,8 @@
       missing.status = 404;
       return request.target == "/metrics" ? MetricsAnswer(Metrics()) : missing;
     });
-    config.address = m_settings.metrics_address;
+    config = limits.PageServer(m_settings.metrics_address);
+    config.loop = &loop();
     auto metrics = HttpServer::Create(config, *m_metrics_handler);
     if (auto* error = std::get_if<Error>(&metrics)) return std::move(*error);
     m_metrics = std::get<std::unique_ptr<HttpServer>>(std::move(metrics));
--- a/src/app/internal/metrics_page.cpp
+++ b/src/app/internal/metrics_page.cpp
@@ -65,6 +65,16 @@
              "HTTP requests over a limit, malformed, cut off or too slow", http.requests_refused);
   AddCounter("http_connections_refused_total", "HTTP connections over the limit",
              http.connections_refused);
+  AddCounter("http_connections_evicted_total",
+             "Connections without a complete request closed in favour of new ones",
+             http.connections_evicted);
+  AddCounter("http_requests_evicted_total",
+             "Unfinished requests refused because all of them held too much memory",
+             http.requests_evicted);
+  AddGauge("http_held_bytes", "Memory of unfinished HTTP requests",
+           static_cast<double>(http.held_bytes));
+  AddGauge("http_connections_open", "Open HTTP connections",
+           static_cast<double>(http.connections_open));
   AddCounter("http_clients_gone_total", "Clients that closed before their answer",
              http.clients_disconnected);
   AddCounter("http_received_bytes_total", "Bytes of HTTP requests", http.received_bytes);
--- a/src/app/tests/child_process.cpp
+++ b/src/app/tests/child_process.cpp
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -17,7 +18,8 @@
 
 }  // namespace
 
-ChildProcess::ChildProcess(std::vector<std::string> command, const std::string& log_path) {
+ChildProcess::ChildProcess(std::vector<std::string> command, const std::string& log_path,
+                           unsigned max_descriptors) {
   std::vector<char*> arguments;
   arguments.reserve(command.size() + 1);
   for (std::string& argument : command) arguments.push_back(argument.data());
@@ -35,6 +37,10 @@
     sigemptyset(&none);
     sigprocmask(SIG_SETMASK, &none, nullptr);
     if (getppid() != parent) _exit(kExecFailedStatus);
+    if (max_descriptors > 0) {
+      const rlimit limit{max_descriptors, max_descriptors};
+      setrlimit(RLIMIT_NOFILE, &limit);
+    }
     dup2(log, STDOUT_FILENO);
     dup2(log, STDERR_FILENO);
     execv(arguments.front(), arguments.data());
--- a/src/app/tests/child_process.h
+++ b/src/app/tests/child_process.h
@@ -22,8 +22,10 @@
 class ChildProcess {
  public:
   /// Appends standard output and standard error to the log file. Must be called from the main
-  /// thread, because the kernel kills the child when the thread that started it ends.
-  ChildProcess(std::vector<std::string> command, const std::string& log_path);
+  /// thread, because the kernel kills the child when the thread that started it ends. If
+  /// `max_descriptors` is not 0, it is the process's limit of open file descriptors.
+  ChildProcess(std::vector<std::string> command, const std::string& log_path,
+               unsigned max_descriptors = 0);
   ChildProcess(const ChildProcess&) = delete;
   ChildProcess& operator=(const ChildProcess&) = delete;
   ~ChildProcess();
--- a/src/app/tests/raw_connection.cpp
+++ b/src/app/tests/raw_connection.cpp
@@ -46,6 +46,16 @@
   return Send(std::string_view(reinterpret_cast<const char*>(bytes.data()), bytes.size()));
 }
 
+void RawConnection::ShutdownSend() { shutdown(m_socket, SHUT_WR); }
+
+void RawConnection::Reset() {
+  if (m_socket < 0) return;
+  const linger discard{1, 0};
+  setsockopt(m_socket, SOL_SOCKET, SO_LINGER, &discard, sizeof(discard));
+  close(m_socket);
+  m_socket = -1;
+}
+
 std::string RawConnection::ReadUntilClosed(std::chrono::milliseconds timeout) {
   std::string received;
   const auto deadline = std::chrono::steady_clock::now() + timeout;
--- a/src/app/tests/raw_connection.h
+++ b/src/app/tests/raw_connection.h
@@ -21,6 +21,10 @@
   /// Returns false if the peer closed the connection or stopped reading before all bytes were sent.
   bool Send(std::string_view bytes);
   bool Send(std::span<const std::uint8_t> bytes);
+  /// Ends the sending direction; the peer reads an end of the stream.
+  void ShutdownSend();
+  /// Closes the connection with a reset, which discards what the peer has not read.
+  void Reset();
   /// Returns what the peer sends until it closes the connection or the timeout expires.
   std::string ReadUntilClosed(std::chrono::milliseconds timeout);
   /// Whether ReadUntilClosed ended because the peer closed the connection.
--- a/src/config/dispatch_settings.h
+++ b/src/config/dispatch_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -21,6 +22,19 @@
   friend bool operator==(const LogRateLimitSettings&, const LogRateLimitSettings&) = default;
 };
 
+/// Limits for clients, which may send anything.
+struct ClientSettings {
+  /// Memory and file descriptors that the process may use; 0 for what the machine allows.
+  std::size_t memory_limit_mb = 0;
+  std::size_t max_descriptors = 0;
+  /// Of a request, with its trailer.
+  std::size_t max_header_fields = 100;
+  /// Limit for receiving a request, from its first byte to its last, and for writing a response.
+  std::chrono::milliseconds slow_client_timeout{5'000};
+  /// A connection without a request is closed after this time.
+  std::chrono::milliseconds idle_client_timeout{60'000};
+};
+
 /// Settings of `foxtailrudder dispatch-entry`. docs/configuration.md lists keys and bounds.
 struct DispatchEntrySettings {
   std::string name;
@@ -39,6 +53,7 @@
   std::chrono::milliseconds stop_grace{6'000};
   /// Run time of a task whose data is on another rack, relative to the same rack.
   double remote_rack_factor = 1.5;
+  ClientSettings clients;
   LogRateLimitSettings log_lines_per_second;
 
   static std::variant<DispatchEntrySettings, Faults> Parse(std::string_view json);
@@ -61,6 +76,7 @@
   /// Longest lease that the endpoint grants.
   std::chrono::milliseconds max_run_lease{1'000};
   std::chrono::milliseconds stop_grace{6'000};
+  ClientSettings clients;
   LogRateLimitSettings log_lines_per_second;
 
   static std::variant<DispatchSidecarSettings, Faults> Parse(std::string_view json);
--- a/src/config/internal/dispatch_settings.cpp
+++ b/src/config/internal/dispatch_settings.cpp
@@ -13,6 +13,12 @@
 constexpr std::size_t kMaxSeedEntries = 100;
 constexpr double kMaxRemoteRackFactor = 10;
 constexpr std::uint32_t kMaxLogLinesPerSecond = 100'000;
+constexpr std::size_t kMinMemoryLimitMb = 32;
+constexpr std::size_t kMaxMemoryLimitMb = 1U << 20U;
+constexpr std::size_t kMinDescriptors = 128;
+constexpr std::size_t kMaxDescriptors = 1U << 20U;
+constexpr std::size_t kMinHeaderFields = 20;
+constexpr std::size_t kMaxHeaderFields = 10'000;
 
 /// Reads a duration that the platform may give as a whole or fractional number of units.
 void ReadDuration(ObjectReader& reader, std::string_view key, milliseconds unit, milliseconds min,
@@ -43,6 +49,32 @@
   *target = number;
 }
 
+/// Reads a number that the platform may give as a whole or fractional one.
+void ReadCount(ObjectReader& reader, std::string_view key, std::size_t min, std::size_t max,
+               std::size_t* target) {
+  const boost::json::value* value = reader.FindMember(key, kOptional);
+  if (value == nullptr) return;
+  const double number = value->is_number() ? value->to_number<double>() : -1;
+  if (!(number >= static_cast<double>(min) && number <= static_cast<double>(max))) {
+    reader.Report(key,
+                  "must be a number from " + std::to_string(min) + " to " + std::to_string(max));
+    return;
+  }
+  *target = static_cast<std::size_t>(number);
+}
+
+void ReadClients(ObjectReader& reader, ClientSettings* clients) {
+  ReadCount(reader, "memory_limit_mb", kMinMemoryLimitMb, kMaxMemoryLimitMb,
+            &clients->memory_limit_mb);
+  ReadCount(reader, "max_descriptors", kMinDescriptors, kMaxDescriptors, &clients->max_descriptors);
+  ReadCount(reader, "max_header_fields", kMinHeaderFields, kMaxHeaderFields,
+            &clients->max_header_fields);
+  ReadDuration(reader, "slow_client_timeout_ms", milliseconds(1), milliseconds(100),
+               milliseconds(600'000), &clients->slow_client_timeout);
+  ReadDuration(reader, "idle_client_timeout_ms", milliseconds(1), milliseconds(100),
+               milliseconds(3'600'000), &clients->idle_client_timeout);
+}
+
 /// Reads the settings that entries and sidecars share.
 template <typename Settings>
 void ReadCommon(ObjectReader& reader, Settings* settings, Faults* faults) {
@@ -62,6 +94,7 @@
                  }
                  settings->seed_entries.emplace_back(value.get_string());
                });
+  ReadClients(reader, &settings->clients);
   if (const auto* lines = reader.FindMember("log_lines_per_second", kOptional)) {
     ObjectReader limits(*lines, reader.PathOf("log_lines_per_second"), faults);
     auto& target = settings->log_lines_per_second;
--- a/src/config/tests/dispatch_settings_test.cpp
+++ b/src/config/tests/dispatch_settings_test.cpp
@@ -44,6 +44,29 @@
   BOOST_TEST(std::get<Faults>(read).size() == 8U);
 }
 
+// Guards against limits that a process cannot live with, and against a platform that gives them as
+// fractions or not at all.
+BOOST_AUTO_TEST_CASE(limits_for_clients_are_checked) {
+  const auto read = DispatchSidecarSettings::Parse(
+      SidecarJson(R"(,"memory_limit_mb":128.5,"max_descriptors":4096,"max_header_fields":50,)"
+                  R"("slow_client_timeout_ms":700,"idle_client_timeout_ms":900)"));
+  BOOST_TEST_REQUIRE(std::holds_alternative<DispatchSidecarSettings>(read));
+  const ClientSettings& clients = std::get<DispatchSidecarSettings>(read).clients;
+  BOOST_TEST(clients.memory_limit_mb == 128U);
+  BOOST_TEST(clients.max_descriptors == 4'096U);
+  BOOST_TEST(clients.max_header_fields == 50U);
+  BOOST_TEST((clients.slow_client_timeout == milliseconds(700)));
+  BOOST_TEST((clients.idle_client_timeout == milliseconds(900)));
+  for (const char* bad :
+       {R"("memory_limit_mb":1)", R"("memory_limit_mb":"64")", R"("max_descriptors":16)",
+        R"("max_descriptors":1e300)", R"("max_header_fields":3)", R"("slow_client_timeout_ms":0)",
+        R"("idle_client_timeout_ms":-1)"}) {
+    const auto faulty = DispatchSidecarSettings::Parse(SidecarJson("," + std::string(bad)));
+    BOOST_TEST_REQUIRE(std::holds_alternative<Faults>(faulty), bad);
+    BOOST_TEST(std::get<Faults>(faulty).size() == 1U, bad);
+  }
+}
+
 // Guards against placement by a wrong factor: the default where the platform gives none, and a
 // value that would make every remote rack look better than the near one.
 BOOST_AUTO_TEST_CASE(the_factor_of_remote_racks_is_checked) {
