Limit the memory of all jobs together

What callers saw: small requests for jobs of 1,300 tasks took the memory of an entry. Cause: a job has a limit of tasks, all jobs together had none, and admission counts work, which a job may state as next to nothing. Why it works: the estimated memory of all jobs is limited. A job is refused as not run only once this entry holds its claim; before that the answer is 504, because another entry may run it.

--- a/src/app/internal/dispatch_entry_app.cpp
+++ b/src/app/internal/dispatch_entry_app.cpp
@@ -47,7 +47,7 @@
       m_limits(ProcessLimits::Create(settings.clients)),
       m_adapters(make_adapters(loop())),
       m_dispatcher(self(), log(), settings.remote_rack_factor),
-      m_shared_jobs(self(), m_dispatcher, log()),
+      m_shared_jobs(self(), m_dispatcher, log(), m_limits.job_bytes()),
       m_watcher(loop(), *m_adapters.store, log(),
                 [this](const StateRead& read) { OnStateRead(read); }),
       m_store_timer(loop()) {}
@@ -371,6 +371,11 @@
                 static_cast<double>(m_shared_jobs.attached_requests()));
   page.AddGauge("open_claims", "Claims held or asked for",
                 static_cast<double>(m_shared_jobs.open_claims()));
+  page.AddCounter("jobs_refused_for_memory_total",
+                  "Jobs refused because those in progress take the memory for jobs",
+                  m_shared_jobs.counters().refused_for_memory);
+  page.AddGauge("job_bytes", "Estimated memory of the jobs in progress",
+                static_cast<double>(m_shared_jobs.job_bytes()));
   page.AddGauge("open_jobs", "Jobs in progress", static_cast<double>(m_dispatcher.open_jobs()));
   page.AddGauge("waiting_tasks", "Tasks that wait for room",
                 static_cast<double>(m_dispatcher.waiting_tasks()));
--- a/src/app/internal/process_limits.cpp
+++ b/src/app/internal/process_limits.cpp
@@ -66,6 +66,10 @@
   return config;
 }
 
+std::size_t ProcessLimits::job_bytes() const {
+  return std::min(m_memory_bytes / kMemoryPart, kMaxMemoryPartBytes);
+}
+
 /// Some descriptors are left for files.
 std::size_t ProcessLimits::sockets() const {
   constexpr std::size_t kMaxFiles = 200;
--- a/src/app/internal/process_limits.h
+++ b/src/app/internal/process_limits.h
@@ -20,6 +20,9 @@
   /// For a server of pages, such as the readiness check, with few clients and no bodies.
   HttpServerConfig PageServer(const std::string& address) const;
 
+  /// Memory for the jobs of all clients.
+  std::size_t job_bytes() const;
+
  private:
   ProcessLimits(std::size_t memory_bytes, std::size_t descriptors, const ClientSettings& settings)
       : m_memory_bytes(memory_bytes), m_descriptors(descriptors), m_settings(settings) {}
--- a/src/dispatch/internal/shared_jobs.cpp
+++ b/src/dispatch/internal/shared_jobs.cpp
@@ -20,6 +20,34 @@
 /// A request of another entry that has not been repeated for this long is taken as withdrawn.
 constexpr milliseconds kAttachmentTimeout{1'000};
 
+/// A job refused for want of memory may come back after this time: jobs take about as long.
+constexpr milliseconds kMemoryRetry{1'000};
+
+/// Estimated memory of the parts of a job, here, at the dispatcher and in messages to sidecars.
+constexpr std::size_t kJobBytes = 2'048;
+constexpr std::size_t kStepBytes = 512;
+constexpr std::size_t kTaskBytes = 512;
+/// Jobs up to this size may use the last quarter of the memory, so that large jobs do not keep
+/// ordinary ones out.
+constexpr std::size_t kSmallJobBytes = 64U << 10U;
+
+/// Of the request, while the claim is not decided.
+std::size_t RequestBytes(const DispatchJob& job) {
+  std::size_t bytes = kJobBytes + 2 * job.payload.size();
+  for (const JobStep& step : job.steps) {
+    bytes += kStepBytes + 2 * (step.after.size() * sizeof(step.after[0]) +
+                               step.required_label.size() + step.preferred_rack.size());
+  }
+  return bytes;
+}
+
+/// Of the request and of its tasks.
+std::size_t JobBytes(const DispatchJob& job) {
+  std::size_t bytes = RequestBytes(job);
+  for (const JobStep& step : job.steps) bytes += step.count * kTaskBytes;
+  return bytes;
+}
+
 JobOutcome OutcomeOf(JobEnd end) {
   switch (end) {
     case JobEnd::kCompleted:
@@ -103,19 +131,30 @@
   /// must not be reported as not run.
   bool may_run_elsewhere = false;
   JobOutcome outcome = JobOutcome::kNone;
+  std::size_t bytes = 0;
 };
 
 }  // namespace
 
 class SharedJobs::Impl {
  public:
-  Impl(NodeRef self, EntryDispatcher& dispatcher, DecisionLog& log)
-      : m_dispatcher(dispatcher), m_log(log), m_claims(self, m_witnesses, log) {}
+  Impl(NodeRef self, EntryDispatcher& dispatcher, DecisionLog& log, std::size_t max_job_bytes)
+      : m_dispatcher(dispatcher),
+        m_log(log),
+        m_claims(self, m_witnesses, log),
+        m_max_job_bytes(max_job_bytes) {}
 
   void Submit(RequestId request, const QueuePlan& queue, DispatchJob job, SteadyTime deadline,
               Now now, DispatchOutputs& out) {
     NoteStart(now);
     const JobName name{queue.address(), job.id};
+    const std::size_t bytes = RequestBytes(job);
+    if (!m_jobs.contains(name) && !HasMemoryFor(bytes)) {
+      // Without the claim, nothing tells that the job does not run at another entry.
+      RecordWantOfMemory(queue, job, bytes);
+      m_replies.push_back({request, JobEnd::kGivenUp, ErrorKind::kQueueFull, std::nullopt});
+      return;
+    }
     Waiter waiter;
     waiter.id = ++m_last_waiter;
     waiter.request = request;
@@ -130,6 +169,8 @@
       Join(shared, waiter, now, out);
       return;
     }
+    shared.bytes = bytes;
+    m_job_bytes += bytes;
     shared.claim = {name, queue.service, false};
     shared.queue = queue;
     shared.job = std::move(job);
@@ -244,6 +285,7 @@
 
   bool is_settled() const { return m_witnesses.is_settled(); }
   std::size_t open_claims() const { return m_claims.size(); }
+  std::size_t job_bytes() const { return m_job_bytes; }
   std::size_t attached_requests() const { return m_waiter_jobs.size() - m_request_waiters.size(); }
   const SharedJobsCounters& counters() const { return m_counters; }
 
@@ -252,6 +294,33 @@
     if (!m_started_at) m_started_at = now.steady;
   }
 
+  bool HasMemoryFor(std::size_t bytes) const {
+    const std::size_t limit =
+        bytes <= kSmallJobBytes ? m_max_job_bytes : m_max_job_bytes - m_max_job_bytes / 4;
+    return m_job_bytes + bytes <= limit;
+  }
+
+  void RecordWantOfMemory(const QueuePlan& queue, const DispatchJob& job, std::size_t bytes) {
+    ++m_counters.refused_for_memory;
+    m_log.Record(DecisionClass::kAnomaly, "job_refused", job.id,
+                 {{"reason", ErrorAnswerOf(ErrorKind::kQueueFull).name},
+                  {"queue", queue.name},
+                  {"bytes", static_cast<std::int64_t>(bytes)},
+                  {"held_bytes", static_cast<std::int64_t>(m_job_bytes)}});
+  }
+
+  /// Reserves the memory for the tasks of a job. Returns false if there is not enough.
+  bool ReserveTasks(SharedJob& shared) {
+    const std::size_t more = JobBytes(shared.job) - shared.bytes;
+    if (!HasMemoryFor(more)) {
+      RecordWantOfMemory(shared.queue, shared.job, more);
+      return false;
+    }
+    m_job_bytes += more;
+    shared.bytes += more;
+    return true;
+  }
+
   /// Handles a further request for a known job.
   void Join(SharedJob& shared, const Waiter& waiter, Now now, DispatchOutputs& out) {
     switch (shared.phase) {
@@ -423,6 +492,12 @@
     // The one with the most time decides whether the job is taken, so that none of the others is
     // told that it never runs while it does.
     std::ranges::sort(shared.waiters, std::greater<>(), &Waiter::deadline);
+    if (!ReserveTasks(shared)) {
+      for (const Waiter& waiter : shared.waiters) {
+        out.answers.push_back({waiter.id, JobEnd::kRefused, ErrorKind::kQueueFull, kMemoryRetry});
+      }
+      return;
+    }
     const std::size_t answers_before = out.answers.size();
     for (const Waiter& waiter : shared.waiters) {
       if (out.answers.size() > answers_before) {
@@ -589,6 +664,7 @@
     ReplyToAll(shared, AnswerWith(shared.outcome), out);
     ClaimOutputs claims;
     m_claims.Release(name, shared.outcome, now, claims);
+    m_job_bytes -= shared.bytes;
     m_jobs.erase(name);
     Apply(claims, now, out);
   }
@@ -606,12 +682,15 @@
   /// Answers to requests of this entry's callers.
   std::vector<JobAnswered> m_replies;
   RequestId m_last_waiter = 0;
+  const std::size_t m_max_job_bytes;
+  std::size_t m_job_bytes = 0;
   std::optional<SteadyTime> m_started_at;
   SharedJobsCounters m_counters;
 };
 
-SharedJobs::SharedJobs(NodeRef self, EntryDispatcher& dispatcher, DecisionLog& log)
-    : m_impl(std::make_unique<Impl>(self, dispatcher, log)) {}
+SharedJobs::SharedJobs(NodeRef self, EntryDispatcher& dispatcher, DecisionLog& log,
+                       std::size_t max_job_bytes)
+    : m_impl(std::make_unique<Impl>(self, dispatcher, log, max_job_bytes)) {}
 SharedJobs::~SharedJobs() = default;
 
 void SharedJobs::Submit(RequestId request, const QueuePlan& queue, DispatchJob job,
@@ -646,6 +725,7 @@
 bool SharedJobs::is_settled() const { return m_impl->is_settled(); }
 std::size_t SharedJobs::attached_requests() const { return m_impl->attached_requests(); }
 std::size_t SharedJobs::open_claims() const { return m_impl->open_claims(); }
+std::size_t SharedJobs::job_bytes() const { return m_impl->job_bytes(); }
 const SharedJobsCounters& SharedJobs::counters() const { return m_impl->counters(); }
 
 }  // namespace foxtailrudder
--- a/src/dispatch/shared_jobs.h
+++ b/src/dispatch/shared_jobs.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <vector>
@@ -20,6 +21,8 @@
   std::uint64_t claims_lapsed = 0;
   /// Jobs refused because no majority of the witnesses answered in time.
   std::uint64_t undecided = 0;
+  /// Jobs refused because the jobs in progress take the memory for them.
+  std::uint64_t refused_for_memory = 0;
 };
 
 /// Makes one job of the requests for it at all entries: before this entry submits a job to its
@@ -27,8 +30,9 @@
 /// for the job there. All requests of callers go through this class.
 class SharedJobs {
  public:
-  /// `dispatcher` must outlive this object.
-  SharedJobs(NodeRef self, EntryDispatcher& dispatcher, DecisionLog& log);
+  /// `dispatcher` must outlive this object. `max_job_bytes` limits the memory of all jobs.
+  SharedJobs(NodeRef self, EntryDispatcher& dispatcher, DecisionLog& log,
+             std::size_t max_job_bytes);
   SharedJobs(const SharedJobs&) = delete;
   SharedJobs& operator=(const SharedJobs&) = delete;
   ~SharedJobs();
@@ -61,6 +65,8 @@
   /// Number of requests of other entries that wait for jobs of this one.
   std::size_t attached_requests() const;
   std::size_t open_claims() const;
+  /// Estimated memory of the jobs in progress.
+  std::size_t job_bytes() const;
   const SharedJobsCounters& counters() const;
 
  private:
--- a/src/dispatch/tests/shared_jobs_test.cpp
+++ b/src/dispatch/tests/shared_jobs_test.cpp
@@ -23,13 +23,16 @@
 constexpr milliseconds kRunTime{300};
 constexpr milliseconds kStopTime{30};
 constexpr NodeId kFirstSidecar = 1'000;
+constexpr std::size_t kAmpleJobBytes = 64U << 20U;
 
 /// Entries and sidecars on a simulated network with delays. The sidecars run one attempt of a task
 /// for kRunTime unless told otherwise, and stop the runs of an entry that they have not heard for a
 /// permit's time.
 class World {
  public:
-  World(std::uint32_t entries, std::uint32_t sidecars, std::uint64_t seed = 1) : m_random(seed) {
+  World(std::uint32_t entries, std::uint32_t sidecars, std::uint64_t seed = 1,
+        std::size_t max_job_bytes = kAmpleJobBytes)
+      : m_max_job_bytes(max_job_bytes), m_random(seed) {
     m_queue.path_prefix = "/q/";
     m_queue.max_attempts = 3;
     m_sidecars.resize(sidecars);
@@ -95,7 +98,7 @@
     Entry& entry = m_entries[index];
     entry.ref = {1 + index, ++m_last_incarnation};
     entry.dispatcher = std::make_unique<EntryDispatcher>(entry.ref, m_log);
-    entry.jobs = std::make_unique<SharedJobs>(entry.ref, *entry.dispatcher, m_log);
+    entry.jobs = std::make_unique<SharedJobs>(entry.ref, *entry.dispatcher, m_log, m_max_job_bytes);
     entry.next_report = m_now;
   }
 
@@ -399,6 +402,7 @@
     }
   }
 
+  const std::size_t m_max_job_bytes;
   Random m_random;
   RecordingLog m_log;
   QueuePlan m_queue;
@@ -599,7 +603,7 @@
   constexpr NodeRef kPeer{2, 1};
   RecordingLog log;
   EntryDispatcher dispatcher(kSelf, log);
-  SharedJobs jobs(kSelf, dispatcher, log);
+  SharedJobs jobs(kSelf, dispatcher, log, kAmpleJobBytes);
   const Now now{SteadyTime(std::chrono::seconds(100)), {}};
   DispatchOutputs out;
   EntryReport peer;
@@ -623,6 +627,27 @@
   BOOST_TEST(out.messages.size() == 4U);
 }
 
+// Guards against jobs that take all memory together, and against a refusal as not run of a job that
+// may run elsewhere: before its claim is decided, the entry does not know.
+BOOST_AUTO_TEST_CASE(memory_of_jobs_is_bounded) {
+  // One job, and the request of a second one.
+  World world(1, 3, 1, 6'200);
+  const RequestId first = world.Submit(0, "first");
+  const RequestId second = world.Submit(0, "second");
+  const RequestId third = world.Submit(0, "third");
+  world.RunFor(milliseconds(20));
+  BOOST_TEST((world.EndOf(second) == JobEnd::kRefused));
+  BOOST_TEST((world.EndOf(third) == JobEnd::kGivenUp));
+  world.RunFor(milliseconds(1'000));
+  BOOST_TEST((world.EndOf(first) == JobEnd::kCompleted));
+  BOOST_TEST(world.StartsOf("second") + world.StartsOf("third") == 0U);
+  // What has ended takes none any more.
+  const RequestId later = world.Submit(0, "second");
+  world.RunFor(milliseconds(1'000));
+  BOOST_TEST((world.EndOf(later) == JobEnd::kCompleted));
+  BOOST_TEST(world.open_claims(0) == 0U);
+}
+
 // Guards against a job that waits without end when no majority of its witnesses answers, and
 // against an entry without any sidecar that does not refuse at once.
 BOOST_AUTO_TEST_CASE(a_job_without_a_decision_is_refused_as_not_run) {
