Do not correct an estimate far beyond the runs that were observed

What callers saw: after another client's jobs with an estimate of 1 ms, ordinary jobs of the queue were refused with all workers free, for up to 30 s. Cause: the factor by which estimates are off was learnt from tasks of 1 ms that took 60, and applied to those of 60 ms. Why it works: a corrected estimate is at most twice the longest and at least half of the shortest observed run.

--- a/src/dispatch/internal/run_time_history.h
+++ b/src/dispatch/internal/run_time_history.h
@@ -58,11 +58,12 @@
   struct Sample {
     /// Run time divided by the estimate, or in milliseconds if there is none.
     double ratio = 0;
+    std::chrono::milliseconds observed_run{0};
     SteadyTime expires_at;
   };
 
   void Add(const std::string& queue, std::uint32_t step, std::chrono::milliseconds estimate,
-           double ratio, Now now);
+           std::chrono::milliseconds assumed_run, std::chrono::milliseconds observed_run, Now now);
 
   std::map<TaskKind, std::deque<Sample>> m_samples;
 };
--- a/src/dispatch/tests/run_time_history_test.cpp
+++ b/src/dispatch/tests/run_time_history_test.cpp
@@ -39,6 +39,16 @@
   BOOST_TEST((history.Find("queue", 0, milliseconds(9'000), now)->expected == milliseconds(900)));
 }
 
+// Guards against callers that suffer from the far too short or long estimates of another one: the
+// correction of those would make their tasks look hopeless, or free.
+BOOST_AUTO_TEST_CASE(an_estimate_is_not_corrected_far_beyond_the_observed_runs) {
+  Done(20, milliseconds(1), milliseconds(60));
+  BOOST_TEST((history.Find("queue", 0, milliseconds(60), now)->expected == milliseconds(120)));
+  BOOST_TEST((history.Find("queue", 0, milliseconds(500), now)->expected == milliseconds(500)));
+  Done(40, milliseconds(4'000'000'000), milliseconds(60));
+  BOOST_TEST((history.Find("queue", 0, milliseconds(80), now)->expected == milliseconds(30)));
+}
+
 // Guards against one long task in ten that is taken for stalled where callers give no estimates.
 BOOST_AUTO_TEST_CASE(without_estimates_the_longest_usual_run_time_is_known) {
   BOOST_TEST(!history.Find("queue", 0, milliseconds(0), now).has_value());
