--- a/fuzz/http_stream_fuzz.cpp
+++ b/fuzz/http_stream_fuzz.cpp
@@ -36,14 +36,15 @@
     const MessageStatus status = reader->Parse(buffer);
     if (status == MessageStatus::kComplete) {
       foxtailrudder::fuzzing::Require(reader->message().body().size() <= kLimits.max_body_bytes,
-                                   "body over its limit");
+                                      "body over its limit");
       reader.emplace(kLimits);
     } else if (status != MessageStatus::kIncomplete && status != MessageStatus::kHeaderComplete) {
       return;
     }
-    foxtailrudder::fuzzing::Require(reader->held_bytes() <= kMaxHeldBytes, "parsed parts too large");
+    foxtailrudder::fuzzing::Require(reader->held_bytes() <= kMaxHeldBytes,
+                                    "parsed parts too large");
     foxtailrudder::fuzzing::Require(buffer.size() <= kLimits.max_header_bytes + 16 * 1'024,
-                                 "unparsed bytes too large");
+                                    "unparsed bytes too large");
   }
   reader->ParseEnd();
 }
