Take the size of the next read from the body's own room

GCC takes the optional that Beast returns for the remaining length as uninitialised when it builds with the sanitizers (-Werror=maybe-uninitialized), so those builds failed. The body has reserved its stated length; what is left of it tells the same.

--- a/src/http/internal/message_reader.h
+++ b/src/http/internal/message_reader.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <iterator>
+#include <string>
 #include <utility>
 
 namespace foxtailrudder::http_internal {
@@ -50,12 +51,10 @@
   /// Number of bytes that the next read should ask for. Little is read beyond the end of the
   /// message, because it stays in the buffer while the message is handled.
   std::size_t NextReadSize() const {
-    if (!m_parser.is_header_done()) return kSmallReadBytes;
-    if (const auto remaining = m_parser.content_length_remaining()) {
-      return static_cast<std::size_t>(
-          std::clamp<std::uint64_t>(*remaining, 1, std::uint64_t{kLargeReadBytes}));
-    }
-    return kSmallReadBytes;
+    if (!m_parser.is_header_done() || m_parser.chunked()) return kSmallReadBytes;
+    // The body has room for the rest of it.
+    const std::string& body = m_parser.get().body();
+    return std::clamp(body.capacity() - body.size(), kSmallReadBytes, kLargeReadBytes);
   }
 
   /// Reads what the buffer holds and consumes it.
