Keep the place of a connection that has just been opened

What callers saw: in a test with 20 places and 20 requests sent at once, one of the requests was broken off in favour of the next connection, although all had arrived: the process had not read it yet. Cause: a connection counted as without a request from the moment it was accepted. Why it works: a connection is evicted only after 50 ms in its state; until then further ones are refused with 503.

--- a/src/http/internal/server.cpp
+++ b/src/http/internal/server.cpp
@@ -20,6 +20,7 @@
 
 #include "http/internal/address.h"
 #include "http/internal/message_reader.h"
+#include "model/time.h"
 
 namespace foxtailrudder {
 namespace {
@@ -39,6 +40,9 @@
 /// in transit. This matters when a request is rejected before it was read completely.
 constexpr std::chrono::milliseconds kLingerTimeout{1000};
 constexpr std::chrono::milliseconds kDisconnectCheckPeriod{100};
+/// A connection is not closed in favour of a new one until it has been without a complete request
+/// for this time.
+constexpr std::chrono::milliseconds kMinEvictionAge{50};
 constexpr std::size_t kDiscardBufferBytes = 16U << 10U;
 
 /// Problem details response (RFC 9457) to a request that did not reach the handler.
@@ -78,6 +82,7 @@
   http::response<http::string_body> response;
   std::string remote;
   SessionState state = SessionState::kIdle;
+  SteadyTime state_since;
   /// In the list of the sessions in this state.
   SessionList::iterator position;
   HttpRequestId request = 0;
@@ -271,6 +276,12 @@
       for (const SessionPtr& session : SessionsIn(state)) {
         // Has no place among the admitted ones.
         if (session->rejected) continue;
+        // Its request may have arrived, and this thread has not got to it yet. The others in the
+        // list are younger.
+        if (state != SessionState::kLingering &&
+            std::chrono::steady_clock::now() - session->state_since < kMinEvictionAge) {
+          break;
+        }
         const SessionPtr evicted = session;
         if (state == SessionState::kReading) {
           CountRefusal(evicted, {ErrorKind::kNoCapacity, "Too many connections"});
@@ -292,6 +303,7 @@
   void AddSession(const SessionPtr& session) {
     SessionList& list = SessionsIn(session->state);
     session->position = list.insert(list.end(), session);
+    session->state_since = std::chrono::steady_clock::now();
     ++m_open_connections;
   }
 
@@ -299,6 +311,7 @@
     SessionList& target = SessionsIn(state);
     target.splice(target.end(), SessionsIn(session->state), session->position);
     session->state = state;
+    session->state_since = std::chrono::steady_clock::now();
   }
 
   /// Closes a session. Idempotent. If its request awaits a response, reports that the client has
--- a/src/http/tests/http_test.cpp
+++ b/src/http/tests/http_test.cpp
@@ -347,6 +347,8 @@
   RawClient waiting(server->address());
   waiting.Write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
   BOOST_TEST_REQUIRE(handler.WaitForRequests(1));
+  // Younger connections keep their places: their requests may be about to be read.
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
   RawClient second(server->address());
   second.Write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
   BOOST_TEST(idle.ReadToEnd().empty());
