--- a/review/lab3/fleet.py
+++ b/review/lab3/fleet.py
@@ -159,9 +159,16 @@
         await asyncio.sleep(3)
 
     async def _present_workers(self, index):
-        _, page = await call(f"{self._entry_ip(index)}:{self._metrics_port}", "GET", "/metrics", {"Host": "x"}, b"", 1.0)
+        return await self._metric(self._entry_ip(index), "present_workers")
+
+    async def queued_orders(self, index):
+        """Number of orders that wait at a sidecar."""
+        return await self._metric(self._sidecar_ip(index), "queued")
+
+    async def _metric(self, ip, name):
+        _, page = await call(f"{ip}:{self._metrics_port}", "GET", "/metrics", {"Host": "x"}, b"", 1.0)
         for line in page.splitlines():
-            if "present_workers" in line and not line.startswith("#"):
+            if line.split(" ")[0].endswith(f"_{name}"):
                 return int(float(line.split()[-1]))
         return 0
 
@@ -174,6 +181,10 @@
         self.recorder.add(f"{caller} gets {status} {text} for {job}")
         return status, text
 
+    def evacuate(self, zone):
+        self.recorder.add(f"the operator evacuates {zone}; the store acknowledges it")
+        self.store.put("op", f"evacuate/{zone}", "{}")
+
     async def cancel(self, entry, job, caller):
         self.recorder.add(f"{caller} sends DELETE {job} to front-{entry + 1}")
         status, text = await call(
--- a/review/lab3/platform_standins.py
+++ b/review/lab3/platform_standins.py
@@ -47,9 +47,17 @@
     """Serves HTTP/1.1 with keep-alive. Subclasses implement handle(), which may return None: no response."""
 
     async def listen(self, ip, port):
+        self._writers = set()
         self._server = await asyncio.start_server(self._serve, ip, port)
 
+    def close(self):
+        """Refuses connections from now on, and resets the open ones."""
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
     async def _serve(self, reader, writer):
+        self._writers.add(writer)
         try:
             while True:
                 message = await read_message(reader)
@@ -70,6 +78,7 @@
         except (ConnectionError, asyncio.CancelledError):
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def handle(self, method, target, headers, body):
@@ -177,6 +186,7 @@
 
     def __init__(self, runner_id, zone, service, address, control_address, cpu, runs, recorder):
         self.id = runner_id
+        self.labels = ["a", "r1-1"]
         self._zone = zone
         self._service = service
         self._address = address
@@ -203,13 +213,22 @@
         await self.listen(ip, int(port))
         self._tasks = [asyncio.create_task(self._send_heartbeats()), asyncio.create_task(self._expire_leases())]
 
+    def crash(self):
+        """The runner is lost for good, with all that runs on it."""
+        self._recorder.add(f"runner {self.id} crashes")
+        for task in self._tasks:
+            task.cancel()
+        self.close()
+        for run in list(self._running.values()):
+            self._end(run, "lost in the crash")
+
     async def _send_heartbeats(self):
         while True:
             self._sequence += 1
             status = {
                 "service": self._service, "address": self._address, "zone": self._zone, "version": "v1", "slots": 8,
                 "state": "ready", "cold_left_ms": 0, "capacity": {"cpu": self._cpu, "mem_mb": 32768, "gpu": 0},
-                "labels": ["a", "r1-1"], "clock_ms": self.clock_ms(), "born": self._born_ms, "seq": self._sequence}
+                "labels": self.labels, "clock_ms": self.clock_ms(), "born": self._born_ms, "seq": self._sequence}
             await call(self._control_address, "POST", f"/Instances.Heartbeat/{self.id}",
                        {"Host": self._control_address}, json.dumps(status).encode(), 1.0)
             await asyncio.sleep(HEARTBEAT_S)
