--- a/review/lab3/fleet.py
+++ b/review/lab3/fleet.py
@@ -69,6 +69,13 @@
         """The exit status; None while the process runs."""
         return self._process.poll()
 
+    def processor_s(self):
+        """Processor time that the running process has used; None if it has ended."""
+        if self.status() is not None:
+            return None
+        fields = pathlib.Path(f"/proc/{self._process.pid}/stat").read_text().rsplit(")", 1)[1].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
     def log(self):
         return self._log_path.read_text(errors="replace")
 
--- a/review/lab3/platform_standins.py
+++ b/review/lab3/platform_standins.py
@@ -194,27 +194,28 @@
         self._cpu = cpu
         self._runs_log = runs
         self._recorder = recorder
+        self._running = {}
+        self._new_end = asyncio.Event()
+
+    def clock_ms(self):
+        return int((now_s() - self._clock_start) * 1000)
+
+    async def start(self):
+        """Begins a life of the runner, which knows nothing of an earlier one."""
         self._born_ms = int(time.time() * 1000)
         self._clock_start = now_s()
         self._fence = 0
         self._lease_until_ms = 0
-        self._running = {}
         self._finished_numbers = {}
         self._ended = []
         self._end_count = 0
-        self._new_end = asyncio.Event()
         self._sequence = 0
-
-    def clock_ms(self):
-        return int((now_s() - self._clock_start) * 1000)
-
-    async def start(self):
         ip, port = self._address.rsplit(":", 1)
         await self.listen(ip, int(port))
         self._tasks = [asyncio.create_task(self._send_heartbeats()), asyncio.create_task(self._expire_leases())]
 
     def crash(self):
-        """The runner is lost for good, with all that runs on it."""
+        """The runner is lost, with all that runs on it."""
         self._recorder.add(f"runner {self.id} crashes")
         for task in self._tasks:
             task.cancel()
