--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,7 +1,8 @@
-"""A client cancels a job that is running; its tasks run on, and further ones are started."""
+"""The entry of a running job freezes; when a second entry refuses the job, both devices are told that it never runs."""
 
 import asyncio
 import pathlib
+import signal
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "lab3"))
@@ -9,41 +10,62 @@
 from fleet import CannotRun, Fleet, job_body, run_case  # noqa: E402
 from platform_standins import now_s  # noqa: E402
 
-JOB = "7f3a91c2d94b36f8"
-RUN_MS = 4_500
-DEADLINE_MS = 12_000
-CANCEL_S = 3.0
-STOP_S = 0.05
+JOB = "9b1e7a21d94b36f8"
+FILLER = "000000000000000f"
+LATE_FILLER = "00000000000000ff"
+RUNNERS = 3
+TASKS_PER_RUNNER = 2
+RUN_MS = 3_000
+FILLER_RUN_MS = 8_000
+PHONE_DEADLINE_MS = 8_000
+LAPTOP_DEADLINE_MS = 5_000
+LAPTOP_AFTER_S = 3.0
+FREEZE_S = 4.0
+
+
+async def freeze(fleet):
+    fleet.recorder.add("front-1 freezes")
+    fleet.entries[0].signal(signal.SIGSTOP)
+    await asyncio.sleep(FREEZE_S)
+    fleet.recorder.add("front-1 wakes")
+    fleet.entries[0].signal(signal.SIGCONT)
+
+
+async def fill_freed_slot(fleet):
+    """Another client's job takes the room of the stopped run."""
+    deadline = now_s() + 2
+    while fleet.runs.is_running(JOB):
+        if now_s() > deadline:
+            raise CannotRun("the run goes on")
+        await asyncio.sleep(0.005)
+    await fleet.submit(2, LATE_FILLER, job_body([{"count": 1}], FILLER_RUN_MS), 12_000, "another client")
 
 
 async def play(recorder, trouble):
-    fleet = Fleet(runners=3, runner_cpu=8_000, recorder=recorder, timeout_ms=DEADLINE_MS)
-    steps = [{"count": 2}, {"count": 2, "after": [0]}]
-    cancelled_at = None
+    fleet = Fleet(runners=RUNNERS, runner_cpu=1_000 * TASKS_PER_RUNNER, recorder=recorder, timeout_ms=12_000)
+    body = job_body([{"count": 1}], RUN_MS)
+    others = []
     try:
         await fleet.start()
-        request = asyncio.create_task(fleet.submit(0, JOB, job_body(steps, RUN_MS), DEADLINE_MS, "client"))
-        await fleet.wait_for_start(JOB, count=2)
-        await asyncio.sleep(0.5)
+        count = RUNNERS * TASKS_PER_RUNNER - 1
+        others.append(asyncio.create_task(
+            fleet.submit(2, FILLER, job_body([{"count": count}], FILLER_RUN_MS), 12_000, "another client")))
+        await fleet.wait_for_start(FILLER, count=count)
+        phone = asyncio.create_task(fleet.submit(0, JOB, body, PHONE_DEADLINE_MS, "phone"))
+        await fleet.wait_for_start(JOB)
+        sent_at = now_s()
+        await asyncio.sleep(0.3)
         if trouble:
-            status = await fleet.cancel(0, JOB, "client")
-            if status != 410 and not 200 <= status < 300:
-                raise CannotRun(f"the cancel got {status}")
-            cancelled_at = now_s()
-        await request
+            others.append(asyncio.create_task(freeze(fleet)))
+            others.append(asyncio.create_task(fill_freed_slot(fleet)))
+        await asyncio.sleep(sent_at + LAPTOP_AFTER_S - now_s())
+        laptop = asyncio.create_task(fleet.submit(1, JOB, body, LAPTOP_DEADLINE_MS, "laptop"))
+        answers = [status for status, _ in await asyncio.gather(phone, laptop)]
+        await asyncio.gather(*others)
     finally:
         fleet.stop()
-    if cancelled_at is None:
-        return None
-    limit = cancelled_at + CANCEL_S
-    late_starts = [run for run in fleet.runs.of_job(JOB) if run["begin"] > limit]
-    late_runs = [run for run in fleet.runs.of_job(JOB) if run["end"] is None or run["end"] > limit + STOP_S]
-    for run in late_starts:
-        recorder.add(f"{run['task']} was started {run['begin'] - cancelled_at:.3f} s after the cancel's acknowledgement")
-    for run in late_runs:
-        recorder.add(f"{run['task']} ran until {run['end'] - cancelled_at:.3f} s after the cancel's acknowledgement")
-    if late_starts or late_runs:
-        return f"UNASKED: {len(late_starts)} late starts, {len(late_runs)} tasks that ran on"
+    if all(status in (429, 503) for status in answers):
+        return f"REFUSED: {len(fleet.runs.of_job(JOB))} start(s), and the only two attempts got {answers}"
     return None
 
 
