--- a/review/lab3/fleet.py
+++ b/review/lab3/fleet.py
@@ -241,6 +241,8 @@
     recorder.add("with the disruption" if trouble else "without the disruption")
 
     async def limited():
+        # A script that is stopped from outside ends its processes too.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         async with asyncio.timeout(110):
             return await play(recorder, trouble)
 
@@ -248,7 +250,7 @@
         broken = asyncio.run(limited())
         status = HELD if broken is None else BROKEN
         recorder.add(f"rule broken: {broken}" if broken else "the rule held")
-    except (CannotRun, OSError, TimeoutError) as error:
+    except (CannotRun, OSError, TimeoutError, asyncio.CancelledError) as error:
         status = CANNOT_RUN
         recorder.add(f"the case couldn't run: {error!r}")
     recorder.write(pathlib.Path(folder) / "record.txt")
