--- a/src/app/internal/dispatch_entry_app.cpp
+++ b/src/app/internal/dispatch_entry_app.cpp
@@ -123,7 +123,7 @@
     m_dispatcher.OnEndpointCrash(*crash, now, out);
   } else if (const auto* entry = std::get_if<EntryReport>(&envelope.message)) {
     OnEntryReport(envelope.from, *entry, entry->next_within, now);
-    m_shared_jobs.OnEntryReport(envelope.from, *entry);
+    m_shared_jobs.OnEntryReport(envelope.from, *entry, now);
   }
   Perform(out);
 }
@@ -140,6 +140,7 @@
   reply.reports_seen = m_dispatcher.ReportsSeen(from);
   reply.wants_reports = m_dispatcher.WantsReports(from);
   reply.load_interval = m_dispatcher.load_interval();
+  m_shared_jobs.AddTo(reply, report, now);
   Send(from, std::move(reply));
   Perform(out);
 }
@@ -164,7 +165,7 @@
     if (index++ % rounds != m_report_round % rounds) continue;
     EntryReport report = ReportTo(entry.entries_digest, now);
     report.next_within = kReportPeriod * static_cast<int>(rounds);
-    m_shared_jobs.AddSidecars(id, entry.held_sidecars_digest, report);
+    m_shared_jobs.AddTo(report, id, entry.held_sidecars_digest, now);
     Send(NodeRef{id, 0}, std::move(report));
   }
 }
--- a/src/app/internal/dispatch_sidecar_app.cpp
+++ b/src/app/internal/dispatch_sidecar_app.cpp
@@ -21,6 +21,20 @@
 
 constexpr std::size_t kMaxBodyBytes = 256U << 10U;
 
+std::string_view NameOf(VoteBasis basis) {
+  switch (basis) {
+    case VoteBasis::kEntriesHeard:
+      return "entries_heard";
+    case VoteBasis::kAllStarted:
+      return "all_started";
+    case VoteBasis::kForgottenClaimsEnded:
+      return "forgotten_claims_ended";
+    case VoteBasis::kNone:
+      break;
+  }
+  return "none";
+}
+
 }  // namespace
 
 DispatchSidecarApp::DispatchSidecarApp(
@@ -63,7 +77,7 @@
 
 void DispatchSidecarApp::OnMessage(const Envelope& envelope, Now now) {
   if (const auto* claims = std::get_if<ClaimJobs>(&envelope.message)) {
-    OnClaims(envelope.from, *claims, now);
+    Send(envelope.from, m_claim_witness.OnClaims(envelope.from, *claims, now));
     return;
   }
   if (const auto* release = std::get_if<ReleaseClaim>(&envelope.message)) {
@@ -72,6 +86,7 @@
   }
   if (const auto* report = std::get_if<EntryReport>(&envelope.message)) {
     const NodeId entry = envelope.from.id;
+    m_claim_witness.OnEntryReport(envelope.from, *report, now);
     OnEntryReport(envelope.from, *report, m_report_schedule.PeriodOf(entry, now), now);
     if (m_report_schedule.SetWanted(entry, report->wants_reports)) SendDueReports(now);
   }
@@ -80,14 +95,6 @@
   Perform(out, now);
 }
 
-void DispatchSidecarApp::OnClaims(NodeRef from, const ClaimJobs& claims, Now now) {
-  const auto entry = entries().find(from.id);
-  const bool knows_entries = entry != entries().end() &&
-                             entry->second.incarnation == from.incarnation &&
-                             entry->second.entries_digest == LiveEntriesDigest(now);
-  Send(from, m_claim_witness.OnClaims(from, claims, knows_entries, now));
-}
-
 void DispatchSidecarApp::OnPeerConnected(NodeRef peer, Now now) {
   ExecutorOutputs out;
   m_executor.OnEntryConnected(peer, now, out);
@@ -96,6 +103,7 @@
 
 void DispatchSidecarApp::OnTick(Now now) {
   m_claim_witness.Tick(now);
+  RecordVoteBasis(now);
   ExecutorOutputs out;
   m_executor.Tick(now, out);
   Perform(out, now);
@@ -116,6 +124,15 @@
   }
 }
 
+void DispatchSidecarApp::RecordVoteBasis(Now now) {
+  const VoteBasis basis = m_claim_witness.vote_basis(now);
+  if (basis == std::exchange(m_vote_basis, basis)) return;
+  log().Record(
+      DecisionClass::kStateChange, "witness_votes", {},
+      {{"basis", NameOf(basis)},
+       {"undecided", static_cast<std::int64_t>(m_claim_witness.counters().undecided_after_start)}});
+}
+
 void DispatchSidecarApp::SendDueReports(Now now) {
   const std::uint64_t digest = LiveEntriesDigest(now);
   for (const auto& [id, entry] : entries()) {
@@ -124,6 +141,7 @@
     WorkerReport report = m_executor.ReportFor(ref, documents().newest(), now);
     report.entries_digest = digest;
     report.sidecar_zone = zone();
+    report.started_recently = m_claim_witness.has_started_recently(now);
     Send(NodeRef{id, 0}, std::move(report));
   }
 }
@@ -274,7 +292,7 @@
                   claims.refused);
   page.AddCounter("claims_ended_total", "Claims to jobs that had ended", claims.answered_ended);
   page.AddCounter("claims_undecided_after_start_total",
-                  "Claims left undecided because this process started recently",
+                  "Claims left undecided because an earlier incarnation may have granted them",
                   claims.undecided_after_start);
   page.AddCounter("claims_undecided_full_total",
                   "Claims left undecided because too many are remembered", claims.undecided_full);
--- a/src/app/internal/dispatch_sidecar_app.h
+++ b/src/app/internal/dispatch_sidecar_app.h
@@ -39,13 +39,15 @@
   void SendDueReports(Now now);
   void DiscoverEntries(Now now);
   void OnTokenRefused(std::uint64_t token, std::string_view command);
-  void OnClaims(NodeRef from, const ClaimJobs& claims, Now now);
+  /// Logs a change of the reason for which this sidecar may grant claims as a witness.
+  void RecordVoteBasis(Now now);
   std::string Metrics() const;
 
   const DispatchSidecarSettings m_settings;
   SidecarAdapters m_adapters;
   WorkerExecutor m_executor;
   ClaimWitness m_claim_witness;
+  VoteBasis m_vote_basis = VoteBasis::kNone;
   ReportSchedule m_report_schedule;
   /// Whether the worker takes tasks, and WorkerExecutor::worker_revision(), as last reported.
   std::pair<bool, std::uint64_t> m_reported_state;
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -11,6 +11,7 @@
 #include "dispatch/document_text.h"     // IWYU pragma: export
 #include "dispatch/entry_dispatcher.h"  // IWYU pragma: export
 #include "dispatch/fencing_token.h"     // IWYU pragma: export
+#include "dispatch/heard_entries.h"     // IWYU pragma: export
 #include "dispatch/job.h"               // IWYU pragma: export
 #include "dispatch/report_schedule.h"   // IWYU pragma: export
 #include "dispatch/shared_jobs.h"       // IWYU pragma: export
--- a/src/dispatch/internal/claim_witness.cpp
+++ b/src/dispatch/internal/claim_witness.cpp
@@ -19,31 +19,67 @@
 
 constexpr milliseconds kExpiryPeriod{500};
 
+/// What an entry has reported counts for this long: until its next report, which may be late.
+constexpr milliseconds kTestimonyValidity = kPresencePeriod + milliseconds(500);
+
 }  // namespace
 
 void ClaimWitness::ExtendAfterPause(Now now) {
   if (!m_started_at) m_started_at = now.steady;
   const auto pause = m_pauses.OnInput(now);
   if (pause == SteadyTime::duration::zero()) return;
+  *m_started_at += pause;
   for (auto& [id, grants] : m_grants) {
     for (Grant& grant : grants) grant.expires_at += pause;
   }
 }
 
-ClaimAnswers ClaimWitness::OnClaims(NodeRef entry, const ClaimJobs& claims, bool knows_entries,
-                                    Now now) {
+void ClaimWitness::OnEntryReport(NodeRef entry, const EntryReport& report, Now now) {
+  ExtendAfterPause(now);
+  if (!has_started_recently(now)) return;
+  m_entries.OnHeard(entry, now);
+  if (report.claimants_digest == 0) return;
+  m_testimonies[entry.id] = {report.claimants_digest, report.claimant_knowledge,
+                             report.started_recently, now.steady + kTestimonyValidity};
+}
+
+bool ClaimWitness::has_started_recently(Now now) const {
+  return !m_started_at || now.steady - *m_started_at < kForgottenClaimLease;
+}
+
+VoteBasis ClaimWitness::vote_basis(Now now) const {
+  if (!has_started_recently(now)) return VoteBasis::kForgottenClaimsEnded;
+  const std::uint64_t heard = m_entries.Digest(now);
+  bool is_complete = false;
+  bool all_started = false;
+  bool some_are_older = false;
+  for (const auto& [id, testimony] : m_testimonies) {
+    if (now.steady >= testimony.valid_until) continue;
+    if (testimony.knowledge == ClaimantKnowledge::kNone) {
+      some_are_older |= !testimony.started_recently;
+      continue;
+    }
+    if (testimony.claimants_digest != heard) return VoteBasis::kNone;
+    is_complete |= testimony.knowledge == ClaimantKnowledge::kComplete;
+    all_started |= testimony.knowledge == ClaimantKnowledge::kAllStarted;
+  }
+  if (is_complete) return VoteBasis::kEntriesHeard;
+  return all_started && !some_are_older ? VoteBasis::kAllStarted : VoteBasis::kNone;
+}
+
+ClaimAnswers ClaimWitness::OnClaims(NodeRef entry, const ClaimJobs& claims, Now now) {
   ExtendAfterPause(now);
+  const bool may_vote = vote_basis(now) != VoteBasis::kNone;
   ClaimAnswers answers;
   answers.echoed = claims.sent_at;
   answers.answers.reserve(claims.claims.size());
   for (const JobClaim& claim : claims.claims) {
-    answers.answers.push_back(Decide(entry, claim, knows_entries, now));
+    answers.answers.push_back(Decide(entry, claim, may_vote, now));
   }
   return answers;
 }
 
-ClaimAnswer ClaimWitness::Decide(NodeRef entry, const JobClaim& claim, bool knows_entries,
-                                 Now now) {
+ClaimAnswer ClaimWitness::Decide(NodeRef entry, const JobClaim& claim, bool may_vote, Now now) {
   ClaimAnswer answer;
   answer.job = claim.job;
   if (const auto found = m_grants.find(claim.job.id); found != m_grants.end()) {
@@ -71,8 +107,7 @@
       return answer;
     }
   }
-  // The holders of grants that an earlier incarnation gave renew them here within this time.
-  if (!claim.is_held && !knows_entries && now.steady - *m_started_at < kClaimLease) {
+  if (!claim.is_held && !may_vote) {
     ++m_counters.undecided_after_start;
     return answer;
   }
@@ -117,6 +152,7 @@
 
 void ClaimWitness::Tick(Now now) {
   ExtendAfterPause(now);
+  if (!has_started_recently(now)) m_testimonies.clear();
   if (now.steady < m_next_expiry) return;
   m_next_expiry = now.steady + kExpiryPeriod;
   for (auto next = m_grants.begin(); next != m_grants.end();) {
--- a/src/dispatch/internal/job_claims.cpp
+++ b/src/dispatch/internal/job_claims.cpp
@@ -20,8 +20,10 @@
 /// Claims repeated at once after a tie, until the others have released their grants.
 constexpr std::uint32_t kMaxQuickRetries = 8;
 
-/// A witness that has started recently decides within some tens of milliseconds.
+/// A witness that has started recently usually decides within some tens of milliseconds, for which
+/// a job waits this long at most before it asks less often.
 constexpr milliseconds kUndecidedRetryPeriod{30};
+constexpr milliseconds kUndecidedRetryTime{200};
 
 /// A conflict is resolved without the witnesses that have not answered by then.
 constexpr milliseconds kAnswerTimeout{20};
@@ -46,6 +48,10 @@
 
 void JobClaims::Ask(Record& record, bool only_missing, Now now, ClaimOutputs& out) {
   record.next_ask_at = now.steady + (record.is_held ? kClaimRenewalPeriod : kClaimRetryPeriod);
+  if (now.steady < m_ask_from) {
+    record.next_ask_at = m_ask_from;
+    return;
+  }
   record.asked_at = now.steady;
   // Refusals of an earlier round are outdated.
   std::erase_if(record.votes, [](const auto& vote) {
@@ -71,6 +77,9 @@
 
 void JobClaims::OnAnswers(NodeRef witness, const ClaimAnswers& answers, Now now,
                           ClaimOutputs& out) {
+  // An incarnation that has been replaced has forgotten what it granted.
+  const auto current = m_witnesses.Find(witness.id);
+  if (current && *current != witness) return;
   for (const ClaimAnswer& answer : answers.answers) {
     const auto found = m_claims.find(answer.job);
     if (found == m_claims.end()) {
@@ -249,14 +258,21 @@
   }
 }
 
-void JobClaims::OnWitnessRestarted(NodeRef witness, Now now, ClaimOutputs& out) {
+void JobClaims::RenewAt(NodeRef witness, Now now, ClaimOutputs& out) {
   ClaimJobs renewal;
   for (auto& [job, record] : m_claims) {
+    const auto asked = record.asked.find(witness.id);
+    if (asked == record.asked.end()) continue;
     const auto vote = record.votes.find(witness.id);
-    if (vote == record.votes.end() || vote->second.witness == witness) continue;
-    const bool was_granted = vote->second.answer.status == ClaimStatus::kGranted;
-    record.votes.erase(vote);
-    if (!was_granted) continue;
+    if (vote != record.votes.end()) {
+      if (vote->second.witness == witness) continue;
+      const bool was_granted = vote->second.answer.status == ClaimStatus::kGranted;
+      record.votes.erase(vote);
+      if (!was_granted) continue;
+    } else if (!record.is_held) {
+      continue;
+    }
+    asked->second = witness;
     record.claim.is_held = record.is_held;
     renewal.claims.push_back(record.claim);
   }
@@ -265,6 +281,14 @@
   out.messages.push_back({witness, std::move(renewal)});
 }
 
+void JobClaims::SetAskFrom(SteadyTime from, Now now) {
+  if (from == m_ask_from) return;
+  m_ask_from = from;
+  for (auto& [job, record] : m_claims) {
+    if (!record.is_held) record.next_ask_at = std::max(now.steady, from);
+  }
+}
+
 void JobClaims::ExpireClaims(Now now, ClaimOutputs& out) {
   if (now.steady < m_earliest_expiry) return;
   m_earliest_expiry = SteadyTime::max();
@@ -289,7 +313,8 @@
     if (now.steady >= record.next_ask_at) {
       Ask(record, false, now, out);
     } else if (!record.is_held && IsUndecided(record) &&
-               now.steady - record.asked_at >= kUndecidedRetryPeriod) {
+               now.steady - record.asked_at >= kUndecidedRetryPeriod &&
+               now.steady - record.claimed_at < kUndecidedRetryTime) {
       Ask(record, true, now, out);
     } else if (!record.is_held && !record.votes.empty() &&
                now.steady - record.asked_at >= kAnswerTimeout) {
--- a/src/dispatch/internal/job_claims.h
+++ b/src/dispatch/internal/job_claims.h
@@ -59,8 +59,14 @@
   void Disown(const JobName& job, Now now, ClaimOutputs& out) const;
 
   void OnAnswers(NodeRef witness, const ClaimAnswers& answers, Now now, ClaimOutputs& out);
-  /// Renews at a new incarnation of a sidecar the grants that the former one has forgotten.
-  void OnWitnessRestarted(NodeRef witness, Now now, ClaimOutputs& out);
+  /// Renews at a sidecar that has started recently the grants that its earlier incarnation has
+  /// forgotten, unless it has answered. Called with each of its reports, before the reply: the
+  /// sidecar votes when it has heard the holders.
+  void RenewAt(NodeRef witness, Now now, ClaimOutputs& out);
+
+  /// Asks for no claim before this time.
+  void SetAskFrom(SteadyTime from, Now now);
+  SteadyTime ask_from() const { return m_ask_from; }
 
   /// Reports claims that are no longer valid. Has to be called before any other input is handled,
   /// because this process may have been suspended.
@@ -122,6 +128,7 @@
   DecisionLog& m_log;
   std::map<JobName, Record> m_claims;
   SteadyTime m_last_sent_at;
+  SteadyTime m_ask_from;
   /// No held claim expires before.
   SteadyTime m_earliest_expiry = SteadyTime::max();
 };
--- a/src/dispatch/internal/shared_jobs.cpp
+++ b/src/dispatch/internal/shared_jobs.cpp
@@ -7,6 +7,7 @@
 #include <set>
 #include <utility>
 
+#include "dispatch/internal/claimant_census.h"
 #include "dispatch/internal/job_claims.h"
 #include "dispatch/internal/job_state.h"
 #include "dispatch/internal/milliseconds.h"
@@ -141,6 +142,7 @@
   Impl(NodeRef self, EntryDispatcher& dispatcher, DecisionLog& log, std::size_t max_job_bytes)
       : m_dispatcher(dispatcher),
         m_log(log),
+        m_census(self),
         m_claims(self, m_witnesses, log),
         m_max_job_bytes(max_job_bytes) {}
 
@@ -204,27 +206,38 @@
 
   void OnSidecarReport(NodeRef sidecar, const WorkerReport& report, Now now, DispatchOutputs& out) {
     NoteStart(now);
-    if (!m_witnesses.OnSidecarHeard(sidecar, report.sidecar_zone, now)) return;
+    const bool is_new = m_witnesses.OnSidecarHeard(sidecar, report.sidecar_zone, now);
+    m_census.OnSidecarHeard(report.started_recently);
+    if (!is_new && !report.started_recently) return;
     ClaimOutputs claims;
-    m_claims.OnWitnessRestarted(sidecar, now, claims);
+    m_claims.RenewAt(sidecar, now, claims);
     Apply(claims, now, out);
   }
 
-  void OnEntryReport(NodeRef entry, const EntryReport& report) {
+  void OnEntryReport(NodeRef entry, const EntryReport& report, Now now) {
+    NoteStart(now);
+    m_census.OnEntryHeard(entry, report.started_recently, now);
     if (report.sidecars.empty()) return;
     m_witnesses.OnPeerList(entry.id, report.sidecars, report.sidecars_digest, report.is_settled);
   }
 
   void SetLiveEntries(const std::vector<NodeId>& entries) { m_witnesses.SetLiveEntries(entries); }
 
-  void AddSidecars(NodeId to, std::uint64_t digest_held_by_receiver, EntryReport& report) const {
-    report.known_sidecars_digest = m_witnesses.DigestOfPeer(to);
+  void AddTo(EntryReport& report, NodeId entry, std::uint64_t digest_held_by_receiver,
+             Now now) const {
+    m_census.AddTo(report, false, now);
+    report.known_sidecars_digest = m_witnesses.DigestOfPeer(entry);
     report.sidecars_digest = m_witnesses.own_digest();
     report.is_settled = m_witnesses.is_settled();
     if (digest_held_by_receiver != report.sidecars_digest) report.sidecars = m_witnesses.own_list();
   }
 
+  void AddTo(EntryReport& reply, const WorkerReport& report, Now now) const {
+    m_census.AddTo(reply, report.started_recently, now);
+  }
+
   void BeforeInput(Now now, DispatchOutputs& out) {
+    NoteStart(now);
     ClaimOutputs claims;
     m_claims.ExpireClaims(now, claims);
     Apply(claims, now, out);
@@ -240,6 +253,7 @@
                     {"waiting_jobs", static_cast<std::int64_t>(m_claims.size())}});
       for (const auto& [name, shared] : m_jobs) m_claims.RetrySoon(name, now);
     }
+    m_claims.SetAskFrom(m_census.claims_from(now), now);
     ClaimOutputs claims;
     m_claims.Tick(now, claims);
     Apply(claims, now, out);
@@ -291,7 +305,10 @@
 
  private:
   void NoteStart(Now now) {
-    if (!m_started_at) m_started_at = now.steady;
+    m_census.OnInput(now);
+    if (m_started_at) return;
+    m_started_at = now.steady;
+    m_claims.SetAskFrom(m_census.claims_from(now), now);
   }
 
   bool HasMemoryFor(std::size_t bytes) const {
@@ -361,13 +378,16 @@
         std::ranges::max_element(shared.waiters, {}, &Waiter::deadline)->deadline;
     const milliseconds critical_path = m_dispatcher.TrustedRun(
         shared.queue, shared.job, Ms(last_deadline - *shared.job.received_at), now);
+    const SteadyTime earliest_start = std::max(now.steady, m_claims.ask_from());
     const bool is_undecided =
         !shared.may_run_elsewhere && std::ranges::all_of(shared.waiters, [&](const Waiter& waiter) {
-          return now.steady > waiter.deadline - critical_path;
+          return earliest_start > waiter.deadline - critical_path;
         });
     // By the time of a retry, the claim of an entry that is gone has lapsed.
+    const milliseconds retry_after =
+        earliest_start > now.steady ? Ms(earliest_start - now.steady) : kClaimLease;
     const JobAnswered answer =
-        is_undecided ? JobAnswered{0, JobEnd::kRefused, ErrorKind::kNotStartedInTime, kClaimLease}
+        is_undecided ? JobAnswered{0, JobEnd::kRefused, ErrorKind::kNotStartedInTime, retry_after}
                      : JobAnswered{0, JobEnd::kGivenUp, ErrorKind::kDeadlineExceeded, std::nullopt};
     bool has_ended = false;
     for (const Waiter& waiter : std::vector<Waiter>(shared.waiters)) {
@@ -672,6 +692,7 @@
   EntryDispatcher& m_dispatcher;
   DecisionLog& m_log;
   WitnessView m_witnesses;
+  ClaimantCensus m_census;
   JobClaims m_claims;
   std::map<JobName, SharedJob> m_jobs;
   std::map<RequestId, JobName> m_waiter_jobs;
@@ -707,15 +728,18 @@
                                  DispatchOutputs& out) {
   m_impl->OnSidecarReport(sidecar, report, now, out);
 }
-void SharedJobs::OnEntryReport(NodeRef entry, const EntryReport& report) {
-  m_impl->OnEntryReport(entry, report);
+void SharedJobs::OnEntryReport(NodeRef entry, const EntryReport& report, Now now) {
+  m_impl->OnEntryReport(entry, report, now);
 }
 void SharedJobs::SetLiveEntries(const std::vector<NodeId>& entries) {
   m_impl->SetLiveEntries(entries);
 }
-void SharedJobs::AddSidecars(NodeId to, std::uint64_t digest_held_by_receiver,
-                             EntryReport& report) const {
-  m_impl->AddSidecars(to, digest_held_by_receiver, report);
+void SharedJobs::AddTo(EntryReport& report, NodeId entry, std::uint64_t digest_held_by_receiver,
+                       Now now) const {
+  m_impl->AddTo(report, entry, digest_held_by_receiver, now);
+}
+void SharedJobs::AddTo(EntryReport& reply, const WorkerReport& report, Now now) const {
+  m_impl->AddTo(reply, report, now);
 }
 void SharedJobs::BeforeInput(Now now, DispatchOutputs& out) { m_impl->BeforeInput(now, out); }
 void SharedJobs::Tick(Now now, DispatchOutputs& out) { m_impl->Tick(now, out); }
--- a/src/dispatch/shared_jobs.h
+++ b/src/dispatch/shared_jobs.h
@@ -46,10 +46,13 @@
 
   /// Handles a report of a sidecar; the claims that it has to know are sent before the reply to it.
   void OnSidecarReport(NodeRef sidecar, const WorkerReport& report, Now now, DispatchOutputs& out);
-  void OnEntryReport(NodeRef entry, const EntryReport& report);
+  void OnEntryReport(NodeRef entry, const EntryReport& report, Now now);
   void SetLiveEntries(const std::vector<NodeId>& entries);
-  /// Sets the members of a report to an entry that concern the sidecars.
-  void AddSidecars(NodeId to, std::uint64_t digest_held_by_receiver, EntryReport& report) const;
+  /// Sets the members of a report to an entry that concern the choice of witnesses.
+  void AddTo(EntryReport& report, NodeId entry, std::uint64_t digest_held_by_receiver,
+             Now now) const;
+  /// Sets the members of the reply to a sidecar's report by which it decides whether to vote.
+  void AddTo(EntryReport& reply, const WorkerReport& report, Now now) const;
 
   /// Suspends the jobs whose claim has expired. Called before any other input is handled: if the
   /// process was suspended, its claims may have passed on to other entries.
--- a/src/dispatch/tests/job_claims_test.cpp
+++ b/src/dispatch/tests/job_claims_test.cpp
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "dispatch/claim_witness.h"
 #include "dispatch/tests/recording_log.h"
@@ -35,6 +36,24 @@
 
 ClaimStatus StatusOf(const ClaimAnswers& answers) { return answers.answers.front().status; }
 
+void TickUntil(ClaimWitness& witness, milliseconds from, milliseconds until) {
+  for (milliseconds time = from; time <= until; time += milliseconds(20)) witness.Tick(At(time));
+}
+
+/// A witness that has started so long before time 0 that it knows all claims.
+ClaimWitness WitnessThatKnowsAllClaims() {
+  ClaimWitness witness;
+  TickUntil(witness, -kForgottenClaimLease, milliseconds(0));
+  return witness;
+}
+
+EntryReport ReportOfClaimants(const std::vector<NodeRef>& claimants, ClaimantKnowledge knowledge) {
+  EntryReport report;
+  for (const NodeRef entry : claimants) report.claimants_digest ^= EntryDigest(entry);
+  report.claimant_knowledge = knowledge;
+  return report;
+}
+
 /// Three witnesses, and an entry that has claimed a job there.
 struct Fixture {
   RecordingLog log;
@@ -67,48 +86,103 @@
 // Guards against a second holder after the witness itself was suspended: the first one has renewed
 // its claim at the others meanwhile.
 BOOST_AUTO_TEST_CASE(a_grant_outlives_a_suspension_of_its_witness) {
-  ClaimWitness witness;
-  witness.OnClaims(kEntry, {{}, {kClaim}}, true, At(milliseconds(0)));
+  ClaimWitness witness = WitnessThatKnowsAllClaims();
+  witness.OnClaims(kEntry, {{}, {kClaim}}, At(milliseconds(0)));
   const milliseconds woken = 2 * kClaimLease;
-  BOOST_TEST(
-      (StatusOf(witness.OnClaims(kOther, {{}, {kClaim}}, true, At(woken))) == ClaimStatus::kHeld));
-  for (milliseconds time = woken; time < woken + kClaimLease; time += milliseconds(20)) {
-    witness.Tick(At(time));
-  }
-  BOOST_TEST((StatusOf(witness.OnClaims(kOther, {{}, {kClaim}}, true, At(woken + kClaimLease))) ==
+  BOOST_TEST((StatusOf(witness.OnClaims(kOther, {{}, {kClaim}}, At(woken))) == ClaimStatus::kHeld));
+  TickUntil(witness, woken, woken + kClaimLease - milliseconds(20));
+  BOOST_TEST((StatusOf(witness.OnClaims(kOther, {{}, {kClaim}}, At(woken + kClaimLease))) ==
               ClaimStatus::kGranted));
 }
 
 // Guards against a witness that votes before it knows the claims that its former incarnation
-// granted.
-BOOST_AUTO_TEST_CASE(a_witness_that_has_started_votes_when_it_knows_the_entries) {
+// granted: it has heard every entry that an entry which was there before has heard.
+BOOST_AUTO_TEST_CASE(a_witness_that_has_started_votes_when_it_has_heard_all_claimants) {
   ClaimWitness witness;
   const ClaimJobs claims{{}, {kClaim}};
+  const EntryReport report = ReportOfClaimants({kEntry, kOther}, ClaimantKnowledge::kComplete);
   witness.Tick(At(milliseconds(0)));
-  BOOST_TEST((StatusOf(witness.OnClaims(kOther, claims, false, At(milliseconds(20)))) ==
+  witness.OnEntryReport(kOther, report, At(milliseconds(10)));
+  BOOST_TEST((StatusOf(witness.OnClaims(kOther, claims, At(milliseconds(20)))) ==
               ClaimStatus::kUndecided));
   JobClaim held = kClaim;
   held.is_held = true;
-  BOOST_TEST((StatusOf(witness.OnClaims(kEntry, {{}, {held}}, false, At(milliseconds(40)))) ==
+  BOOST_TEST((StatusOf(witness.OnClaims(kEntry, {{}, {held}}, At(milliseconds(40)))) ==
+              ClaimStatus::kGranted));
+  witness.OnEntryReport(kEntry, report, At(milliseconds(40)));
+  BOOST_TEST(
+      (StatusOf(witness.OnClaims(kOther, claims, At(milliseconds(60)))) == ClaimStatus::kHeld));
+  const JobClaim other{{"show.example/q/", "other"}, "show", false};
+  BOOST_TEST((StatusOf(witness.OnClaims(kOther, {{}, {other}}, At(milliseconds(60)))) ==
               ClaimStatus::kGranted));
-  BOOST_TEST((StatusOf(witness.OnClaims(kOther, claims, true, At(milliseconds(60)))) ==
-              ClaimStatus::kHeld));
+}
+
+// Guards against a vote on a claim whose holder was lost while the witness was restarted: the
+// entries that are left have stopped to hear it, or have replaced it by a later incarnation.
+BOOST_AUTO_TEST_CASE(a_witness_that_has_started_waits_for_an_entry_that_it_has_not_heard) {
+  constexpr NodeRef kLost{kEntry.id, kEntry.incarnation - 1};
+  for (const bool is_replaced : {false, true}) {
+    ClaimWitness witness;
+    witness.Tick(At(milliseconds(0)));
+    for (milliseconds time{20}; time < kForgottenClaimLease; time += milliseconds(100)) {
+      const EntryReport report =
+          ReportOfClaimants({kLost, kEntry, kOther}, ClaimantKnowledge::kComplete);
+      witness.OnEntryReport(kOther, report, At(time));
+      if (is_replaced) witness.OnEntryReport(kEntry, report, At(time));
+      BOOST_TEST((StatusOf(witness.OnClaims(kOther, {{}, {kClaim}}, At(time))) ==
+                  ClaimStatus::kUndecided));
+    }
+    BOOST_TEST((StatusOf(witness.OnClaims(kOther, {{}, {kClaim}}, At(kForgottenClaimLease))) ==
+                ClaimStatus::kGranted));
+  }
+}
+
+// Guards against a suspension that counts as time in which holders could renew their claims.
+BOOST_AUTO_TEST_CASE(a_witness_that_was_suspended_after_its_start_waits_longer) {
+  ClaimWitness witness;
+  TickUntil(witness, milliseconds(0), milliseconds(100));
+  const milliseconds woken = milliseconds(100) + 2 * kForgottenClaimLease;
+  BOOST_TEST(
+      (StatusOf(witness.OnClaims(kOther, {{}, {kClaim}}, At(woken))) == ClaimStatus::kUndecided));
+  TickUntil(witness, woken, woken + kForgottenClaimLease);
+  BOOST_TEST(
+      (StatusOf(witness.OnClaims(kOther, {{}, {kClaim}}, At(woken + kForgottenClaimLease))) ==
+       ClaimStatus::kGranted));
+}
+
+// Guards against votes on the word of entries that have started too while an older one is left,
+// which was suspended, and against one that starts later and keeps all others waiting.
+BOOST_AUTO_TEST_CASE(a_witness_votes_early_only_after_a_total_loss) {
+  for (const bool third_is_older : {true, false}) {
+    constexpr NodeRef kThird{3, 10};
+    const std::vector<NodeRef> all{kEntry, kOther, kThird};
+    ClaimWitness witness;
+    witness.Tick(At(milliseconds(0)));
+    EntryReport report = ReportOfClaimants(all, ClaimantKnowledge::kAllStarted);
+    report.started_recently = true;
+    witness.OnEntryReport(kEntry, report, At(milliseconds(20)));
+    witness.OnEntryReport(kOther, report, At(milliseconds(20)));
+    BOOST_TEST((witness.vote_basis(At(milliseconds(20))) == VoteBasis::kNone));
+    report.claimant_knowledge = ClaimantKnowledge::kNone;
+    report.started_recently = !third_is_older;
+    witness.OnEntryReport(kThird, report, At(milliseconds(40)));
+    BOOST_TEST((witness.vote_basis(At(milliseconds(40))) ==
+                (third_is_older ? VoteBasis::kNone : VoteBasis::kAllStarted)));
+  }
 }
 
 // Guards against memory that grows with a flood of unknown jobs, and against what it leaves.
 BOOST_AUTO_TEST_CASE(the_memory_of_a_witness_is_bounded) {
-  ClaimWitness witness;
+  ClaimWitness witness = WitnessThatKnowsAllClaims();
   ClaimAnswers last;
   for (int i = 0; i < 20'000; ++i) {
     const JobClaim claim{{"show.example/q/", std::to_string(i)}, "show", false};
-    last = witness.OnClaims(kEntry, {{}, {claim}}, true, At(milliseconds(0)));
+    last = witness.OnClaims(kEntry, {{}, {claim}}, At(milliseconds(0)));
   }
   BOOST_TEST((StatusOf(last) == ClaimStatus::kUndecided));
   BOOST_TEST(witness.size() == 16'384U);
   BOOST_TEST(witness.counters().undecided_full == 20'000U - 16'384U);
-  for (milliseconds time{0}; time <= kClaimLease + milliseconds(600); time += milliseconds(20)) {
-    witness.Tick(At(time));
-  }
+  TickUntil(witness, milliseconds(0), kClaimLease + milliseconds(600));
   BOOST_TEST(witness.size() == 0U);
 }
 
@@ -177,6 +251,34 @@
   BOOST_TEST(CountEvents(ClaimEventKind::kLapsed) == 1U);
 }
 
+// Guards against a vote of a sidecar that has been restarted since, which has forgotten it.
+BOOST_AUTO_TEST_CASE(an_answer_of_an_earlier_incarnation_is_no_vote) {
+  Answer(1, ClaimStatus::kGranted, milliseconds(10));
+  view.OnSidecarHeard({Sidecar(2).id, Sidecar(2).incarnation + 1}, "z2", At(milliseconds(12)));
+  Answer(2, ClaimStatus::kGranted, milliseconds(14));
+  BOOST_TEST(CountEvents(ClaimEventKind::kHeld) == 0U);
+}
+
+// Guards against a renewal that is lost with its connection: the witness counts the entry as heard
+// with the next report.
+BOOST_AUTO_TEST_CASE(a_claim_is_renewed_at_a_restarted_witness_until_it_answers) {
+  Answer(1, ClaimStatus::kGranted, milliseconds(10));
+  Answer(2, ClaimStatus::kGranted, milliseconds(10));
+  BOOST_TEST_REQUIRE(claims.IsHeld(kClaim.job));
+  const NodeRef restarted{Sidecar(2).id, Sidecar(2).incarnation + 1};
+  view.OnSidecarHeard(restarted, "z2", At(milliseconds(20)));
+  for (const int time_ms : {20, 120}) {
+    out = {};
+    claims.RenewAt(restarted, At(milliseconds(time_ms)), out);
+    BOOST_TEST(out.messages.size() == 1U);
+  }
+  const ClaimAnswer answer{kClaim.job, ClaimStatus::kGranted, {}, false, {}, JobOutcome::kNone};
+  claims.OnAnswers(restarted, {At(milliseconds(130)).steady, {answer}}, At(milliseconds(130)), out);
+  out = {};
+  claims.RenewAt(restarted, At(milliseconds(140)), out);
+  BOOST_TEST(out.messages.empty());
+}
+
 // Guards against two entries that each hold one of two votes and wait for each other.
 BOOST_AUTO_TEST_CASE(an_established_holder_is_asked_when_the_votes_are_split) {
   Answer(1, ClaimStatus::kGranted, milliseconds(10));
--- a/src/dispatch/tests/shared_jobs_test.cpp
+++ b/src/dispatch/tests/shared_jobs_test.cpp
@@ -22,6 +22,7 @@
 constexpr milliseconds kTick{20};
 constexpr milliseconds kRunTime{300};
 constexpr milliseconds kStopTime{30};
+constexpr milliseconds kEntryLiveTime{1'000};
 constexpr NodeId kFirstSidecar = 1'000;
 constexpr std::size_t kAmpleJobBytes = 64U << 20U;
 
@@ -100,14 +101,50 @@
     entry.dispatcher = std::make_unique<EntryDispatcher>(entry.ref, m_log);
     entry.jobs = std::make_unique<SharedJobs>(entry.ref, *entry.dispatcher, m_log, m_max_job_bytes);
     entry.next_report = m_now;
+    entry.peers_heard_at.clear();
   }
 
-  /// Runs of the former incarnation are stopped, as a sidecar does when it starts.
+  /// The endpoint goes on with its runs until their leases expire.
+  void KillSidecar(std::uint32_t index) {
+    Sidecar& sidecar = m_sidecars[index];
+    sidecar.is_down = true;
+    sidecar.is_frozen = false;
+    sidecar.inbox.clear();
+    for (auto& [name, run] : sidecar.runs) {
+      run.is_earlier = true;
+      FinishRun(sidecar, name, run.order, kMaxRunLease, TaskEnd::kLost);
+    }
+  }
+
+  /// Stops the runs of the earlier incarnation, as a sidecar does when it starts.
   void StartSidecar(std::uint32_t index) {
     Sidecar& sidecar = m_sidecars[index];
+    std::map<Task, Run> earlier = std::move(sidecar.runs);
     sidecar = Sidecar{};
     sidecar.ref = {kFirstSidecar + index, ++m_last_incarnation};
     sidecar.started_at = m_now;
+    sidecar.runs = std::move(earlier);
+    for (auto& [name, run] : sidecar.runs) {
+      run.is_earlier = true;
+      run.is_stopping = true;
+      FinishRun(sidecar, name, run.order, kStopTime, TaskEnd::kStopped);
+    }
+  }
+
+  void AddSidecars(std::uint32_t count) {
+    const auto first = static_cast<std::uint32_t>(m_sidecars.size());
+    m_sidecars.resize(first + count);
+    for (std::uint32_t i = first; i < first + count; ++i) StartSidecar(i);
+  }
+
+  std::set<std::uint32_t> SidecarsThatRun(const std::string& job) const {
+    std::set<std::uint32_t> running;
+    for (std::uint32_t i = 0; i < m_sidecars.size(); ++i) {
+      const bool runs = std::ranges::any_of(
+          m_sidecars[i].runs, [&job](const auto& run) { return run.first.first == job; });
+      if (runs) running.insert(i);
+    }
+    return running;
   }
 
   /// Neither handles inputs nor sends anything; they are handled when it continues.
@@ -172,11 +209,14 @@
     bool is_frozen = false;
     std::vector<std::function<void()>> inbox;
     SteadyTime next_report;
+    std::map<NodeId, SteadyTime> peers_heard_at;
   };
   struct Run {
     NodeRef entry;
     OrderId order = 0;
     bool is_stopping = false;
+    /// Placed with an earlier incarnation of the sidecar.
+    bool is_earlier = false;
   };
   struct Sidecar {
     NodeRef ref;
@@ -186,6 +226,7 @@
     std::map<NodeRef, SteadyTime> permits;
     std::map<NodeRef, std::vector<TaskReport>> ends;
     std::map<NodeRef, OrderId> orders_seen;
+    bool is_down = false;
     bool is_frozen = false;
     std::vector<std::function<void()>> inbox;
   };
@@ -237,7 +278,7 @@
   void Deliver(NodeRef from, NodeRef to, const Message& message) {
     if (to.id >= kFirstSidecar) {
       Sidecar& sidecar = m_sidecars[to.id - kFirstSidecar];
-      if (IsCut(from.id, to.id)) return;
+      if (IsCut(from.id, to.id) || sidecar.is_down) return;
       if (sidecar.is_frozen) {
         sidecar.inbox.push_back([this, from, to, message] { Deliver(from, to, message); });
       } else if (to.incarnation == sidecar.ref.incarnation) {
@@ -260,22 +301,24 @@
         e.dispatcher->OnWorkerReport(from, *report, CurrentTime(), out);
         EntryReport reply;
         reply.echoed = report->sent_at;
+        e.jobs->AddTo(reply, *report, CurrentTime());
         out.messages.push_back({from, reply});
       } else if (const auto* ends = std::get_if<TaskReports>(&message)) {
         e.dispatcher->OnTaskReports(from, *ends, CurrentTime(), out);
       } else if (const auto* peer = std::get_if<EntryReport>(&message)) {
-        e.jobs->OnEntryReport(from, *peer);
+        e.peers_heard_at[from.id] = m_now;
+        e.jobs->OnEntryReport(from, *peer, CurrentTime());
       }
     });
   }
 
   void OnSidecarMessage(Sidecar& sidecar, NodeRef from, const Message& message) {
     if (const auto* claims = std::get_if<ClaimJobs>(&message)) {
-      Send(sidecar.ref, from,
-           sidecar.witness.OnClaims(from, *claims, KnowsEntries(sidecar), CurrentTime()));
+      Send(sidecar.ref, from, sidecar.witness.OnClaims(from, *claims, CurrentTime()));
     } else if (const auto* release = std::get_if<ReleaseClaim>(&message)) {
       sidecar.witness.OnRelease(from, *release, CurrentTime());
     } else if (const auto* report = std::get_if<EntryReport>(&message)) {
+      sidecar.witness.OnEntryReport(from, *report, CurrentTime());
       SteadyTime& permit = sidecar.permits[from];
       permit = std::max(permit, report->echoed + kEntryPermitDuration);
     } else if (const auto* place = std::get_if<PlaceTasks>(&message)) {
@@ -285,13 +328,6 @@
     }
   }
 
-  /// Every live entry has reported to the sidecar since it started.
-  bool KnowsEntries(const Sidecar& sidecar) const {
-    return std::ranges::all_of(m_entries, [&](const Entry& entry) {
-      return !entry.jobs || sidecar.permits.contains(entry.ref);
-    });
-  }
-
   void Place(Sidecar& sidecar, NodeRef entry, const std::string& job, const PlacedTask& task) {
     sidecar.orders_seen[entry] = std::max(sidecar.orders_seen[entry], task.order);
     const Task name{job, task.index};
@@ -317,9 +353,9 @@
       Sidecar& current = m_sidecars[index];
       const auto run = current.runs.find(name);
       if (run == current.runs.end() || run->second.order != order) return;
-      const NodeRef entry = run->second.entry;
+      const Run ended = run->second;
       current.runs.erase(run);
-      End(current, entry, order, end);
+      if (!ended.is_earlier) End(current, ended.entry, order, end);
     });
   }
 
@@ -362,23 +398,28 @@
         e.dispatcher->Tick(CurrentTime(), out);
         if (m_now < e.next_report) return;
         e.next_report = m_now + kReportPeriod;
+        std::erase_if(e.peers_heard_at,
+                      [this](const auto& peer) { return m_now - peer.second > kEntryLiveTime; });
+        std::vector<NodeId> live;
+        for (const auto& [id, heard_at] : e.peers_heard_at) live.push_back(id);
+        e.jobs->SetLiveEntries(live);
         for (const Entry& peer : m_entries) {
           if (peer.ref.id == e.ref.id) continue;
           EntryReport report;
-          e.jobs->AddSidecars(peer.ref.id, 0, report);
+          e.jobs->AddTo(report, peer.ref.id, 0, CurrentTime());
           out.messages.push_back({{peer.ref.id, 0}, report});
         }
       });
     }
     for (Sidecar& sidecar : m_sidecars) {
-      if (!sidecar.is_frozen) TickSidecar(sidecar);
+      if (!sidecar.is_frozen && !sidecar.is_down) TickSidecar(sidecar);
     }
   }
 
   void TickSidecar(Sidecar& sidecar) {
     sidecar.witness.Tick(CurrentTime());
     for (auto& [name, run] : sidecar.runs) {
-      if (m_now > sidecar.permits[run.entry]) Stop(sidecar, name, run);
+      if (!run.is_earlier && m_now > sidecar.permits[run.entry]) Stop(sidecar, name, run);
     }
     if (m_now < sidecar.started_at + milliseconds(100)) return;
     const bool is_due = (m_now.time_since_epoch() / kTick) % 5 == 0;
@@ -394,8 +435,10 @@
       report.load.orders_seen = sidecar.orders_seen[entry.ref];
       report.accepting = true;
       report.earlier_runs_ended = true;
+      report.started_recently = sidecar.witness.has_started_recently(CurrentTime());
       for (const auto& [name, run] : sidecar.runs) {
-        if (run.entry == entry.ref) report.held.push_back(run.order);
+        report.earlier_runs_ended &= !run.is_earlier;
+        if (run.entry == entry.ref && !run.is_earlier) report.held.push_back(run.order);
       }
       Send(sidecar.ref, {entry.ref.id, 0}, report);
       if (!sidecar.ends[entry.ref].empty()) SendEnds(sidecar, entry.ref);
@@ -612,7 +655,7 @@
     jobs.OnSidecarReport({id, 1}, WorkerReport{}, now, out);
     peer.sidecars.push_back({id, "z" + std::to_string(id)});
   }
-  jobs.OnEntryReport(kPeer, peer);
+  jobs.OnEntryReport(kPeer, peer, now);
   jobs.Tick(now, out);
   BOOST_TEST_REQUIRE(jobs.is_settled());
   const AttachToJob attach{{{"queue", "job"}, "show", false}, milliseconds(1'000), false};
@@ -710,6 +753,166 @@
   BOOST_TEST(world.EndOf(laptop).has_value());
 }
 
+/// How the entry that runs a job is lost.
+enum class HolderLoss : std::uint8_t { kKilled, kFrozen, kCutOff, kCutOffThenKilled };
+/// How the witnesses of a job forget its claim.
+enum class WitnessLoss : std::uint8_t {
+  kRestartedAtOnce,
+  kRestartedLater,
+  kReplaced,
+  kRestartedWithEntries,
+};
+
+struct ClaimCrossing {
+  HolderLoss holder = HolderLoss::kKilled;
+  WitnessLoss witnesses = WitnessLoss::kRestartedAtOnce;
+  /// From the loss of the holder to that of the witnesses.
+  milliseconds witnesses_after{0};
+
+  friend std::ostream& operator<<(std::ostream& out, const ClaimCrossing& crossing) {
+    return out << "holder loss " << static_cast<int>(crossing.holder) << ", witness loss "
+               << static_cast<int>(crossing.witnesses) << " after "
+               << crossing.witnesses_after.count() << " ms";
+  }
+};
+
+void LoseHolder(World& world, HolderLoss loss, std::uint32_t sidecars) {
+  switch (loss) {
+    case HolderLoss::kKilled:
+      world.KillEntry(0);
+      return;
+    case HolderLoss::kFrozen:
+      world.Freeze(true, 0, true);
+      return;
+    case HolderLoss::kCutOff:
+    case HolderLoss::kCutOffThenKilled:
+      for (std::uint32_t i = 0; i < sidecars; ++i) world.Cut(0, i, true);
+      return;
+  }
+}
+
+/// The sidecars that run no task of the job lose what they know.
+void LoseWitnesses(World& world, const std::string& job, WitnessLoss loss, std::uint32_t sidecars) {
+  constexpr milliseconds kRestartDelay{500};
+  const std::set<std::uint32_t> running = world.SidecarsThatRun(job);
+  const auto for_all_others = [&](const auto& act) {
+    for (std::uint32_t i = 0; i < sidecars; ++i) {
+      if (!running.contains(i)) act(i);
+    }
+  };
+  for_all_others([&](std::uint32_t i) { world.KillSidecar(i); });
+  switch (loss) {
+    case WitnessLoss::kRestartedAtOnce:
+      break;
+    case WitnessLoss::kRestartedLater:
+      world.RunFor(kRestartDelay);
+      break;
+    case WitnessLoss::kReplaced:
+      // Others take their places, so the entries choose other witnesses.
+      world.AddSidecars(sidecars);
+      return;
+    case WitnessLoss::kRestartedWithEntries:
+      for (const std::uint32_t entry : {1U, 2U}) world.KillEntry(entry);
+      world.RunFor(kRestartDelay);
+      for (const std::uint32_t entry : {1U, 2U}) world.StartEntry(entry);
+      break;
+  }
+  for_all_others([&](std::uint32_t i) { world.StartSidecar(i); });
+}
+
+// Guards against a second run of a job when the entry that runs it is lost together with what its
+// witnesses know: each way to lose the one beside each way to lose the other, in both orders.
+BOOST_AUTO_TEST_CASE(a_lost_claim_that_witnesses_have_forgotten_never_runs_a_task_twice) {
+  constexpr std::uint32_t kSidecars = 6;
+  std::uint64_t seed = 0;
+  for (const HolderLoss holder : {HolderLoss::kKilled, HolderLoss::kFrozen, HolderLoss::kCutOff,
+                                  HolderLoss::kCutOffThenKilled}) {
+    for (const WitnessLoss witnesses :
+         {WitnessLoss::kRestartedAtOnce, WitnessLoss::kRestartedLater, WitnessLoss::kReplaced,
+          WitnessLoss::kRestartedWithEntries}) {
+      for (const int after_ms : {-1'000, -600, -300, -100, 0, 100, 300, 600, 1'000}) {
+        const ClaimCrossing crossing{holder, witnesses, milliseconds(after_ms)};
+        World world(3, kSidecars, ++seed);
+        // Its witnesses differ from case to case.
+        const std::string job = "job" + std::to_string(seed);
+        world.SetRunTime(milliseconds(3'000));
+        world.RunFor(milliseconds(4'000));
+        world.Submit(0, job, "show.example", "show", milliseconds(20'000));
+        world.RunFor(milliseconds(50));
+        world.Submit(1, job, "show.example", "show", milliseconds(20'000));
+        world.RunFor(milliseconds(250));
+        if (after_ms < 0) LoseWitnesses(world, job, witnesses, kSidecars);
+        if (after_ms < 0) world.RunFor(milliseconds(-after_ms));
+        LoseHolder(world, holder, kSidecars);
+        if (holder == HolderLoss::kCutOffThenKilled) world.RunFor(milliseconds(300));
+        if (holder == HolderLoss::kCutOffThenKilled) world.KillEntry(0);
+        if (after_ms >= 0) world.RunFor(milliseconds(after_ms));
+        if (after_ms >= 0) LoseWitnesses(world, job, witnesses, kSidecars);
+        // A device that comes after the loss.
+        world.RunFor(milliseconds(100));
+        const RequestId late = world.Submit(2, job, "show.example", "show", milliseconds(15'000));
+        world.RunFor(milliseconds(16'000));
+        BOOST_TEST(world.overlaps().empty(), crossing);
+        BOOST_TEST(IsCompleted(world.EndOf(late)), crossing);
+      }
+    }
+  }
+}
+
+// Guards against a run that is left at an endpoint whose sidecar comes back late, or not at all,
+// after a loss of all processes, and against a wait that is longer than such a run may take.
+BOOST_AUTO_TEST_CASE(after_a_loss_of_all_processes_a_job_runs_when_no_earlier_run_is_left) {
+  constexpr std::uint32_t kSidecars = 6;
+  for (const int back_ms : {0, 200, 500}) {
+    for (const int run_back_ms : {back_ms, 500, 1'000, 5'000}) {
+      World world(3, kSidecars, static_cast<std::uint64_t>(back_ms + run_back_ms) + 1);
+      world.SetRunTime(milliseconds(3'000));
+      world.Submit(0, "job");
+      world.RunFor(milliseconds(300));
+      const std::set<std::uint32_t> running = world.SidecarsThatRun("job");
+      for (std::uint32_t i = 0; i < kSidecars; ++i) world.KillSidecar(i);
+      for (std::uint32_t i = 0; i < 3; ++i) world.KillEntry(i);
+      world.RunFor(milliseconds(back_ms));
+      for (std::uint32_t i = 0; i < 3; ++i) world.StartEntry(i);
+      for (std::uint32_t i = 0; i < kSidecars; ++i) {
+        if (!running.contains(i)) world.StartSidecar(i);
+      }
+      const RequestId laptop = world.Submit(1, "job");
+      const RequestId other = world.Submit(2, "other");
+      world.RunFor(milliseconds(std::max(0, run_back_ms - back_ms)));
+      for (const std::uint32_t i : running) world.StartSidecar(i);
+      const std::string delays = std::to_string(back_ms) + ", " + std::to_string(run_back_ms);
+      const milliseconds passed{std::max(0, run_back_ms - back_ms)};
+      world.RunFor(
+          std::max(milliseconds(0), kRunsEndedAfterTotalLoss + milliseconds(150) - passed));
+      BOOST_TEST(world.StartsOf("other") > 0U, delays);
+      world.RunFor(milliseconds(8'000));
+      BOOST_TEST(world.overlaps().empty(), delays);
+      BOOST_TEST(IsCompleted(world.EndOf(laptop)), delays);
+      BOOST_TEST(IsCompleted(world.EndOf(other)), delays);
+    }
+  }
+}
+
+// Guards against a job that waits for a lease where no entry was lost: the sidecars are restarted
+// one after the other, or two witnesses at once.
+BOOST_AUTO_TEST_CASE(restarts_of_sidecars_delay_no_job_while_all_entries_are_heard) {
+  constexpr std::uint32_t kSidecars = 6;
+  World world(3, kSidecars);
+  world.RunFor(milliseconds(4'000));
+  std::vector<RequestId> requests;
+  for (std::uint32_t round = 0; round < 3 * kSidecars; ++round) {
+    world.StartSidecar(round % kSidecars);
+    if (round >= kSidecars) world.StartSidecar((round + 1) % kSidecars);
+    world.RunFor(milliseconds(250));
+    const std::string job = "job" + std::to_string(round);
+    world.Submit(round % 3, job);
+    world.RunFor(milliseconds(50));
+    BOOST_TEST(world.StartsOf(job) == 2U, round);
+    world.RunFor(milliseconds(700));
+  }
+}
+
 // Guards against two runs, or a request without an answer, under any mix of devices and faults.
 // FOXTAILRUDDER_SEED plays one seed.
 BOOST_AUTO_TEST_CASE(random_devices_and_faults_never_run_a_task_twice) {
--- a/src/dispatch/timing.h
+++ b/src/dispatch/timing.h
@@ -48,6 +48,16 @@
 /// it refuses jobs for lack of workers.
 inline constexpr std::chrono::milliseconds kStartupGracePeriod{2'000};
 
+/// Time within which an entry that has started hears every sidecar and entry that is in contact
+/// with others: a connection attempt that fails, the pause after it, and a round of reports.
+inline constexpr std::chrono::milliseconds kContactTime{300};
+
+/// After the start of an entry that hears no process which is older than it: by then the runs of
+/// earlier incarnations have ended. Their sidecars were lost before it would have heard them, and
+/// the leases of the runs have expired.
+inline constexpr std::chrono::milliseconds kRunsEndedAfterTotalLoss =
+    kContactTime + kMaxRunLease + kLeaseMargin;
+
 /// Period in which an entry renews its claims to jobs. Most jobs end before the first renewal.
 inline constexpr std::chrono::milliseconds kClaimRenewalPeriod{400};
 
@@ -66,4 +76,16 @@
 static_assert(kClaimLease >= kClaimRenewalPeriod + kRunsEndedAfterSilence);
 static_assert(kClaimLease >= kClaimValidity + kEntryPermitDuration + kLeaseMargin);
 
+/// Time after which the claims that an earlier incarnation of a witness has granted need not be
+/// known: their holders could not renew them here, and whatever happened to them while they relied
+/// on the grants, their runs have ended.
+inline constexpr std::chrono::milliseconds kForgottenClaimLease =
+    kClaimValidity + kRunsEndedAfterSilence;
+
+/// For this long after an entry was heard last, it counts among those that may hold claims: it may
+/// have been lost just before its next report, and its runs end some time later.
+inline constexpr std::chrono::milliseconds kHeardEntryRetention{2'500};
+inline constexpr std::chrono::milliseconds kMaxEntryReportGap{600};
+static_assert(kHeardEntryRetention >= kMaxEntryReportGap + kRunsEndedAfterSilence);
+
 }  // namespace foxtailrudder
--- a/src/model/dispatch_messages.h
+++ b/src/model/dispatch_messages.h
@@ -171,6 +171,8 @@
   std::string sidecar_zone;
   /// The same ratio over the life of the endpoint, in thousandths.
   std::uint32_t baseline_slowness_permille = 1000;
+  /// The sidecar may not know all claims that its earlier incarnation has granted.
+  bool started_recently = false;
 
   friend bool operator==(const WorkerReport&, const WorkerReport&) = default;
 };
@@ -184,6 +186,16 @@
   friend auto operator<=>(const WitnessInfo&, const WitnessInfo&) = default;
 };
 
+/// How well an entry knows which other entries may hold claims.
+enum class ClaimantKnowledge : std::uint8_t {
+  /// It has started or been suspended recently, and others may have held claims before that.
+  kNone,
+  /// It has listened for so long that it has heard all of them.
+  kComplete,
+  /// It hears no process that is older than it, and the runs of all earlier ones have ended.
+  kAllStarted,
+};
+
 /// Entry to a sidecar in reply to a WorkerReport, and when it wants reports; and to every entry
 /// periodically.
 struct EntryReport {
@@ -212,6 +224,12 @@
   bool is_settled = false;
   /// To an entry: the digest of the receiver's list that the sender holds.
   std::uint64_t known_sidecars_digest = 0;
+  /// The sender has started recently. Not set by one that was suspended.
+  bool started_recently = false;
+  /// To a sidecar that has started recently: digest of the incarnations of entries, the sender's
+  /// included, that may hold claims as far as the sender knows. 0 if not set.
+  std::uint64_t claimants_digest = 0;
+  ClaimantKnowledge claimant_knowledge = ClaimantKnowledge::kNone;
 
   friend bool operator==(const EntryReport&, const EntryReport&) = default;
 };
@@ -248,8 +266,7 @@
   kHeld,
   /// The job has ended a short time ago; see `outcome`.
   kEnded,
-  /// The witness has started recently and may not know all grants of its previous incarnation, or
-  /// remembers too many.
+  /// The witness does not know all grants of its previous incarnation, or remembers too many.
   kUndecided,
 };
 
--- a/src/transport/internal/codec.cpp
+++ b/src/transport/internal/codec.cpp
@@ -445,15 +445,17 @@
     return wire::CreateWorkerReport(
         builder, ToNanoseconds(m.sent_at), m.state_version, service, zone, worker, labels,
         &capacity, &load, m.accepting, m.earlier_runs_ended, m.slowness_permille, held,
-        m.entries_digest, Put(m.sidecar_zone), m.baseline_slowness_permille);
+        m.entries_digest, Put(m.sidecar_zone), m.baseline_slowness_permille, m.started_recently);
   }
 
   fb::Offset<wire::EntryReport> Put(const EntryReport& m) {
     const auto entries = PutAll(m.entries);
-    return wire::CreateEntryReport(
-        builder, ToNanoseconds(m.echoed), m.state_version, m.reports_seen, entries,
-        m.entries_digest, m.wants_reports, m.next_within.count(), m.load_interval.count(),
-        PutAll(m.sidecars), m.sidecars_digest, m.is_settled, m.known_sidecars_digest);
+    return wire::CreateEntryReport(builder, ToNanoseconds(m.echoed), m.state_version,
+                                   m.reports_seen, entries, m.entries_digest, m.wants_reports,
+                                   m.next_within.count(), m.load_interval.count(),
+                                   PutAll(m.sidecars), m.sidecars_digest, m.is_settled,
+                                   m.known_sidecars_digest, m.started_recently, m.claimants_digest,
+                                   ToWireEnum<wire::ClaimantKnowledge>(m.claimant_knowledge));
   }
 
   fb::Offset<wire::WitnessInfo> Put(const WitnessInfo& witness) {
@@ -1063,6 +1065,7 @@
     out.entries_digest = in.entries_digest();
     Get(*in.sidecar_zone(), out.sidecar_zone);
     out.baseline_slowness_permille = in.baseline_slowness_permille();
+    out.started_recently = in.started_recently();
   }
 
   void Get(const wire::EntryReport& in, EntryReport& out) {
@@ -1078,6 +1081,9 @@
     out.sidecars_digest = in.sidecars_digest();
     out.is_settled = in.settled();
     out.known_sidecars_digest = in.known_sidecars_digest();
+    out.started_recently = in.started_recently();
+    out.claimants_digest = in.claimants_digest();
+    GetEnum(in.claimant_knowledge(), out.claimant_knowledge, "claimant_knowledge");
   }
 
   void Get(const wire::WitnessInfo& in, WitnessInfo& out) {
