Never refuse a job that may have run, whoever knows of the run

Cause: only answers of the entry's own dispatcher were held against what the entry knew of earlier runs. The entry that got the claim after a lapse knew nothing of the run, and its refusal was passed on by the entry that did.

Evidence: attached_job_ended with a refusal after claim_lapsed and a stopped task at the first entry. The new tests failed before: 7 checks of no_device_is_refused_a_job_that_has_run_for_another_entry, 16 of a_job_that_was_stopped_is_not_refused_to_a_later_device. a_job_that_has_not_run_is_refused_to_all_of_its_devices held before and holds.

Change: every answer passes SharedJobs::Reply, where RunKnowledge turns the refusal of a job that may have run into 504. Witnesses remember for 10 s that a claim lapsed, or was released with runs and without an outcome, and tell claimants; entries tell the holder when they attach. A refusal by the holder that is true is still passed on. A caller whose deadline has passed before its claim was decided is no longer told that the job never runs.

The random play now checks refusals as well.

--- a/src/app/internal/dispatch_entry_app.cpp
+++ b/src/app/internal/dispatch_entry_app.cpp
@@ -368,6 +368,9 @@
                   shared.claims_lapsed);
   page.AddCounter("jobs_undecided_total", "Jobs refused for want of a majority of witnesses",
                   shared.undecided);
+  page.AddCounter("refusals_withheld_total",
+                  "Requests not answered as refused because the job may have run",
+                  shared.refusals_of_run_jobs);
   page.AddGauge("attached_requests", "Requests of other entries that wait here",
                 static_cast<double>(m_shared_jobs.attached_requests()));
   page.AddGauge("open_claims", "Claims held or asked for",
--- a/src/app/internal/dispatch_sidecar_app.cpp
+++ b/src/app/internal/dispatch_sidecar_app.cpp
@@ -298,6 +298,8 @@
                   "Claims left undecided because too many are remembered", claims.undecided_full);
   page.AddGauge("claims", "Claims and outcomes remembered",
                 static_cast<double>(m_claim_witness.size()));
+  page.AddGauge("former_runs", "Jobs that may have run under a claim without an outcome",
+                static_cast<double>(m_claim_witness.former_runs()));
   page.AddGauge("present_slowness", "Run time relative to the expected one, lately",
                 m_executor.present_slowness(ReadBootClocks()));
   page.AddGauge("baseline_slowness", "Run time relative to the expected one, in the long run",
--- a/src/dispatch/claim_witness.h
+++ b/src/dispatch/claim_witness.h
@@ -53,6 +53,7 @@
   void Tick(Now now);
 
   std::size_t size() const { return m_size; }
+  std::size_t former_runs() const { return m_former_runs.size(); }
   const ClaimWitnessCounters& counters() const { return m_counters; }
 
  private:
@@ -78,10 +79,18 @@
   void ExtendAfterPause(Now now);
   ClaimAnswer Decide(NodeRef entry, const JobClaim& claim, bool may_vote, Now now);
   void Remember(JobClaim claim, NodeRef holder, JobOutcome outcome, Now now);
+  /// Removes the grants that have expired.
+  void DropExpired(Grants& grants, Now now);
+  void RememberRun(const JobName& job, Now now);
+  bool MayHaveRun(const JobName& job, Now now) const;
 
   /// By ID: jobs with the same ID may exclude each other.
   std::map<std::string, Grants> m_grants;
   std::size_t m_size = 0;
+  /// Jobs that an earlier holder of the claim may have run, and until when that is remembered.
+  std::map<JobName, SteadyTime> m_former_runs;
+  /// Until then some such jobs may be missing for want of room.
+  SteadyTime m_former_runs_missing_until;
   std::optional<SteadyTime> m_started_at;
   HeardEntries m_entries;
   std::map<NodeId, Testimony> m_testimonies;
--- a/src/dispatch/entry_dispatcher.h
+++ b/src/dispatch/entry_dispatcher.h
@@ -93,6 +93,8 @@
   /// Returns false if the job is not in progress.
   bool Attach(const JobName& job, RequestId request, SteadyTime deadline);
   bool IsInProgress(const JobName& job) const;
+  /// Whether a task of a job in progress has run here, or may have.
+  bool MayHaveRun(const JobName& job) const;
   /// How long the job runs without waiting, as far as that is known well enough to call it
   /// hopeless; 0 if it rests on an estimate that exceeds `time_budget`, for which its caller waits.
   std::chrono::milliseconds TrustedRun(const QueuePlan& queue, const DispatchJob& job,
--- a/src/dispatch/internal/claim_witness.cpp
+++ b/src/dispatch/internal/claim_witness.cpp
@@ -82,9 +82,11 @@
 ClaimAnswer ClaimWitness::Decide(NodeRef entry, const JobClaim& claim, bool may_vote, Now now) {
   ClaimAnswer answer;
   answer.job = claim.job;
-  if (const auto found = m_grants.find(claim.job.id); found != m_grants.end()) {
+  const auto found = m_grants.find(claim.job.id);
+  if (found != m_grants.end()) DropExpired(found->second, now);
+  answer.may_have_run = MayHaveRun(claim.job, now);
+  if (found != m_grants.end()) {
     for (Grant& grant : found->second) {
-      if (now.steady >= grant.expires_at) continue;
       const bool is_same_job = grant.claim.job == claim.job;
       if (grant.outcome != JobOutcome::kNone) {
         if (!is_same_job) continue;
@@ -123,17 +125,41 @@
 
 void ClaimWitness::Remember(JobClaim claim, NodeRef holder, JobOutcome outcome, Now now) {
   Grants& grants = m_grants[claim.job.id];
-  m_size -= std::erase_if(grants, [&](const Grant& grant) {
-    return grant.claim.job == claim.job || now.steady >= grant.expires_at;
-  });
+  DropExpired(grants, now);
+  m_size -= std::erase_if(grants, [&](const Grant& grant) { return grant.claim.job == claim.job; });
   const SteadyTime expires_at =
       outcome == JobOutcome::kNone ? now.steady + kClaimLease : now.steady + kOutcomeRetention;
   grants.push_back({std::move(claim), holder, now.steady, expires_at, outcome});
   ++m_size;
 }
 
+void ClaimWitness::DropExpired(Grants& grants, Now now) {
+  m_size -= std::erase_if(grants, [&](const Grant& grant) {
+    if (now.steady < grant.expires_at) return false;
+    // Its holder was lost, or could not renew it.
+    if (grant.outcome == JobOutcome::kNone) RememberRun(grant.claim.job, now);
+    return true;
+  });
+}
+
+void ClaimWitness::RememberRun(const JobName& job, Now now) {
+  const SteadyTime until = now.steady + kOutcomeRetention;
+  if (m_former_runs.size() < kMaxRemembered) {
+    m_former_runs[job] = until;
+  } else {
+    m_former_runs_missing_until = until;
+  }
+}
+
+bool ClaimWitness::MayHaveRun(const JobName& job, Now now) const {
+  if (now.steady < m_former_runs_missing_until) return true;
+  const auto found = m_former_runs.find(job);
+  return found != m_former_runs.end() && now.steady < found->second;
+}
+
 void ClaimWitness::OnRelease(NodeRef entry, const ReleaseClaim& release, Now now) {
   ExtendAfterPause(now);
+  if (release.may_have_run) RememberRun(release.job, now);
   const auto found = m_grants.find(release.job.id);
   const auto is_of_job = [&](const Grant& grant) { return grant.claim.job == release.job; };
   if (found != m_grants.end()) {
@@ -156,10 +182,10 @@
   if (now.steady < m_next_expiry) return;
   m_next_expiry = now.steady + kExpiryPeriod;
   for (auto next = m_grants.begin(); next != m_grants.end();) {
-    m_size -= std::erase_if(next->second,
-                            [now](const Grant& grant) { return now.steady >= grant.expires_at; });
+    DropExpired(next->second, now);
     next = next->second.empty() ? m_grants.erase(next) : std::next(next);
   }
+  std::erase_if(m_former_runs, [now](const auto& run) { return now.steady >= run.second; });
 }
 
 }  // namespace foxtailrudder
--- a/src/dispatch/internal/entry_dispatcher.cpp
+++ b/src/dispatch/internal/entry_dispatcher.cpp
@@ -142,6 +142,10 @@
   }
 
   bool IsInProgress(const JobName& name) const { return m_jobs.contains(name); }
+  bool MayHaveRun(const JobName& name) const {
+    const auto found = m_jobs.find(name);
+    return found != m_jobs.end() && found->second.may_have_run();
+  }
 
   milliseconds TrustedRun(const QueuePlan& queue, DispatchJob job, milliseconds time_budget,
                           Now now) const {
@@ -878,6 +882,7 @@
   return m_impl->Attach(job, request, deadline);
 }
 bool EntryDispatcher::IsInProgress(const JobName& job) const { return m_impl->IsInProgress(job); }
+bool EntryDispatcher::MayHaveRun(const JobName& job) const { return m_impl->MayHaveRun(job); }
 milliseconds EntryDispatcher::TrustedRun(const QueuePlan& queue, const DispatchJob& job,
                                          milliseconds time_budget, Now now) const {
   return m_impl->TrustedRun(queue, job, time_budget, now);
--- a/src/dispatch/internal/job_claims.cpp
+++ b/src/dispatch/internal/job_claims.cpp
@@ -85,7 +85,7 @@
     if (found == m_claims.end()) {
       // Given up in the meantime.
       if (answer.status == ClaimStatus::kGranted) {
-        out.messages.push_back({witness, ReleaseClaim{answer.job, JobOutcome::kNone}});
+        out.messages.push_back({witness, ReleaseClaim{answer.job, JobOutcome::kNone, false}});
       }
       continue;
     }
@@ -96,6 +96,9 @@
     const bool was_granted = vote.witness == witness && vote.answer.status == ClaimStatus::kGranted;
     const SteadyTime granted_at = was_granted ? vote.granted_at : now.steady;
     vote = {witness, answers.echoed, granted_at, answer};
+    if (answer.may_have_run && !std::exchange(record.may_have_run, true)) {
+      out.events.push_back({answer.job, ClaimEventKind::kMayHaveRun, {}, false, {}});
+    }
     Evaluate(record, now, out);
   }
 }
@@ -211,7 +214,7 @@
 }
 
 void JobClaims::YieldTo(Record& record, const Claimant& holder, Now now, ClaimOutputs& out) {
-  SendRelease(record, JobOutcome::kNone, now, out);
+  SendRelease(record, JobOutcome::kNone, false, now, out);
   record.next_ask_at = now.steady + kClaimRetryPeriod;
   out.events.push_back(
       {record.claim.job, ClaimEventKind::kHeldElsewhere, holder.entry, holder.is_other_job, {}});
@@ -220,14 +223,15 @@
 void JobClaims::Yield(const JobName& job, NodeRef holder, Now now, ClaimOutputs& out) {
   const auto found = m_claims.find(job);
   if (found == m_claims.end() || found->second.is_held || holder == m_self) return;
-  SendRelease(found->second, JobOutcome::kNone, now, out);
+  SendRelease(found->second, JobOutcome::kNone, false, now, out);
   found->second.next_ask_at = now.steady + kClaimRetryPeriod;
 }
 
 /// Also to witnesses that have not answered: they may have granted the claim.
-void JobClaims::SendRelease(Record& record, JobOutcome outcome, Now now, ClaimOutputs& out) {
+void JobClaims::SendRelease(Record& record, JobOutcome outcome, bool may_have_run, Now now,
+                            ClaimOutputs& out) {
   for (const auto& [id, witness] : record.asked) {
-    out.messages.push_back({witness, ReleaseClaim{record.claim.job, outcome}});
+    out.messages.push_back({witness, ReleaseClaim{record.claim.job, outcome, may_have_run}});
   }
   record.asked.clear();
   record.votes.clear();
@@ -235,10 +239,11 @@
   record.released_at = NextSendTime(now);
 }
 
-void JobClaims::Release(const JobName& job, JobOutcome outcome, Now now, ClaimOutputs& out) {
+void JobClaims::Release(const JobName& job, JobOutcome outcome, bool may_have_run, Now now,
+                        ClaimOutputs& out) {
   const auto found = m_claims.find(job);
   if (found == m_claims.end()) return;
-  SendRelease(found->second, outcome, now, out);
+  SendRelease(found->second, outcome, may_have_run, now, out);
   m_claims.erase(found);
 }
 
@@ -252,7 +257,7 @@
   for (const WitnessSet& set : m_witnesses.SetsFor(job.id, now)) {
     for (const NodeId id : set.sidecars) {
       if (const auto witness = m_witnesses.Find(id)) {
-        out.messages.push_back({*witness, ReleaseClaim{job, JobOutcome::kNone}});
+        out.messages.push_back({*witness, ReleaseClaim{job, JobOutcome::kNone, false}});
       }
     }
   }
--- a/src/dispatch/internal/job_claims.h
+++ b/src/dispatch/internal/job_claims.h
@@ -21,6 +21,8 @@
   kHeldElsewhere,
   /// Another entry has a grant and may hold the claim; only it can tell.
   kContested,
+  /// A task may have run under an earlier claim. Reported before this entry holds the claim.
+  kMayHaveRun,
   /// The job has ended a short time ago.
   kEnded,
 };
@@ -49,8 +51,10 @@
   /// Starts to ask for the claim to a job.
   void Claim(const JobClaim& claim, Now now, ClaimOutputs& out);
   /// Gives the claim up, or stops asking for it. No run of the job may be left. With an outcome,
-  /// the witnesses answer later requests for the job with it.
-  void Release(const JobName& job, JobOutcome outcome, Now now, ClaimOutputs& out);
+  /// the witnesses answer later requests for the job with it; without one, they tell later
+  /// claimants that the job may have run, if it may.
+  void Release(const JobName& job, JobOutcome outcome, bool may_have_run, Now now,
+               ClaimOutputs& out);
   /// Releases the grants, because `holder` has said that it holds the claim.
   void Yield(const JobName& job, NodeRef holder, Now now, ClaimOutputs& out);
   /// Asks again soon, because the holder does not know the job.
@@ -87,6 +91,8 @@
   struct Record {
     JobClaim claim;
     bool is_held = false;
+    /// A witness has told that a task may have run under an earlier claim.
+    bool may_have_run = false;
     SteadyTime claimed_at;
     /// Answers to claims sent up to then are outdated.
     SteadyTime released_at;
@@ -120,7 +126,8 @@
   static bool IsUndecided(const Record& record);
   void ResolveConflict(Record& record, Now now, ClaimOutputs& out);
   void YieldTo(Record& record, const Claimant& holder, Now now, ClaimOutputs& out);
-  void SendRelease(Record& record, JobOutcome outcome, Now now, ClaimOutputs& out);
+  void SendRelease(Record& record, JobOutcome outcome, bool may_have_run, Now now,
+                   ClaimOutputs& out);
   static bool IsGranted(const Vote& vote, Now now);
 
   const NodeRef m_self;
--- a/src/dispatch/internal/shared_jobs.cpp
+++ b/src/dispatch/internal/shared_jobs.cpp
@@ -11,6 +11,7 @@
 #include "dispatch/internal/job_claims.h"
 #include "dispatch/internal/job_state.h"
 #include "dispatch/internal/milliseconds.h"
+#include "dispatch/internal/run_knowledge.h"
 #include "dispatch/timing.h"
 
 namespace foxtailrudder {
@@ -128,9 +129,7 @@
   std::vector<Waiter> waiters;
   /// The entry for whose job the waiters wait.
   std::optional<NodeRef> holder;
-  /// A task has run or may run for a request of another entry or for an earlier claim, so the job
-  /// must not be reported as not run.
-  bool may_run_elsewhere = false;
+  RunKnowledge runs;
   JobOutcome outcome = JobOutcome::kNone;
   std::size_t bytes = 0;
 };
@@ -276,12 +275,14 @@
     std::vector<JobAnswered> translated;
     // Jobs that are started again may be answered at once.
     while (true) {
-      for (JobAnswered answer : std::exchange(out.answers, {})) {
+      for (const JobAnswered& answer : std::exchange(out.answers, {})) {
         const auto found = m_waiter_jobs.find(answer.request);
         if (found == m_waiter_jobs.end()) continue;
         SharedJob& shared = m_jobs.at(found->second);
-        if (answer.end == JobEnd::kRefused && shared.may_run_elsewhere) {
-          answer = {answer.request, JobEnd::kGivenUp, ErrorKind::kDeadlineExceeded, std::nullopt};
+        const JobName& name = shared.claim.job;
+        if (answer.end != JobEnd::kRefused &&
+            (!m_dispatcher.IsInProgress(name) || m_dispatcher.MayHaveRun(name))) {
+          shared.runs.OnRun();
         }
         shared.outcome = OutcomeOf(answer.end);
         const auto waiter = std::ranges::find(shared.waiters, answer.request, &Waiter::id);
@@ -356,7 +357,7 @@
 
   /// Without a single sidecar nothing can be run, claimed or known.
   bool RefuseWithoutContact(SharedJob& shared, Now now, DispatchOutputs& out) {
-    if (m_witnesses.has_contact() || shared.may_run_elsewhere ||
+    if (m_witnesses.has_contact() || shared.runs.is_held_elsewhere() ||
         now.steady - *m_started_at <= kStartupGracePeriod) {
       return false;
     }
@@ -379,20 +380,24 @@
     const milliseconds critical_path = m_dispatcher.TrustedRun(
         shared.queue, shared.job, Ms(last_deadline - *shared.job.received_at), now);
     const SteadyTime earliest_start = std::max(now.steady, m_claims.ask_from());
-    const bool is_undecided =
-        !shared.may_run_elsewhere && std::ranges::all_of(shared.waiters, [&](const Waiter& waiter) {
-          return earliest_start > waiter.deadline - critical_path;
-        });
+    const bool is_undecided = !shared.runs.is_held_elsewhere() &&
+                              std::ranges::all_of(shared.waiters, [&](const Waiter& waiter) {
+                                return earliest_start > waiter.deadline - critical_path;
+                              });
     // By the time of a retry, the claim of an entry that is gone has lapsed.
     const milliseconds retry_after =
         earliest_start > now.steady ? Ms(earliest_start - now.steady) : kClaimLease;
-    const JobAnswered answer =
-        is_undecided ? JobAnswered{0, JobEnd::kRefused, ErrorKind::kNotStartedInTime, retry_after}
-                     : JobAnswered{0, JobEnd::kGivenUp, ErrorKind::kDeadlineExceeded, std::nullopt};
     bool has_ended = false;
     for (const Waiter& waiter : std::vector<Waiter>(shared.waiters)) {
-      if (!is_undecided && now.steady < waiter.deadline) continue;
-      Reply(shared, waiter, answer, out);
+      if (now.steady >= waiter.deadline) {
+        Reply(shared, waiter, {0, JobEnd::kGivenUp, ErrorKind::kDeadlineExceeded, std::nullopt},
+              out);
+      } else if (is_undecided) {
+        Reply(shared, waiter, {0, JobEnd::kRefused, ErrorKind::kNotStartedInTime, retry_after},
+              out);
+      } else {
+        continue;
+      }
       ForgetWaiter(shared, waiter.id);
       has_ended = true;
     }
@@ -402,7 +407,8 @@
                  {{"queue", shared.queue.name},
                   {"waited_ms", Ms(now.steady - *shared.job.received_at).count()},
                   {"expected_ms", critical_path.count()},
-                  {"may_run_elsewhere", static_cast<std::int64_t>(shared.may_run_elsewhere)}});
+                  {"held_elsewhere", static_cast<std::int64_t>(shared.runs.is_held_elsewhere())},
+                  {"may_have_run", static_cast<std::int64_t>(shared.runs.may_have_run())}});
     if (shared.waiters.empty()) DropClaim(shared, out);
   }
 
@@ -421,6 +427,7 @@
       return;
     }
     SharedJob& shared = found->second;
+    if (attach.may_have_run) shared.runs.OnRun();
     const auto known = std::ranges::find_if(shared.waiters, [entry](const Waiter& waiter) {
       return !waiter.request && waiter.entry == entry;
     });
@@ -464,9 +471,11 @@
       if (result.retry_after > milliseconds(0)) answer.retry_after = result.retry_after;
       EndWithoutRun(shared, answer, out);
     } else if (result.state == AttachedJobState::kInProgress) {
+      shared.runs.OnProgressElsewhere();
       m_claims.Yield(result.job, from, now, claims);
     } else {
       shared.holder.reset();
+      shared.runs.OnUnknownElsewhere();
       m_claims.RetrySoon(result.job, now);
     }
     Apply(claims, now, out);
@@ -490,6 +499,9 @@
         case ClaimEventKind::kContested:
           OnHeldElsewhere(shared, event, now, out);
           break;
+        case ClaimEventKind::kMayHaveRun:
+          shared.runs.OnRun();
+          break;
         case ClaimEventKind::kEnded:
           OnEndedBefore(shared, event.outcome, now, out);
           break;
@@ -499,6 +511,7 @@
 
   void OnHeld(SharedJob& shared, Now now, DispatchOutputs& out) {
     shared.holder.reset();
+    shared.runs.OnClaimed();
     if (shared.phase == JobPhase::kClaiming) {
       Start(shared, now, out);
     } else if (shared.phase == JobPhase::kRunning) {
@@ -535,13 +548,13 @@
     if (shared.phase == JobPhase::kRunning) {
       if (event.kind == ClaimEventKind::kContested) return;
       // The claim lapsed here and has passed on.
+      NoteRuns(shared);
       m_dispatcher.Abandon(shared.claim.job, now, out);
       shared.phase = JobPhase::kClaiming;
-      shared.may_run_elsewhere = true;
     }
     // The claim of another job with the same ID only has to be waited for.
     if (event.is_other_job) return;
-    shared.may_run_elsewhere = true;
+    shared.runs.OnHeldElsewhere();
     if (shared.holder != event.holder) {
       ++m_counters.held_elsewhere;
       m_log.Record(
@@ -581,7 +594,8 @@
   void SendAttach(const SharedJob& shared, NodeRef holder, Now now, DispatchOutputs& out) const {
     SteadyTime deadline = now.steady;
     for (const Waiter& waiter : shared.waiters) deadline = std::max(deadline, waiter.deadline);
-    out.messages.push_back({holder, AttachToJob{shared.claim, Ms(deadline - now.steady), false}});
+    out.messages.push_back({holder, AttachToJob{shared.claim, Ms(deadline - now.steady), false,
+                                                shared.runs.may_have_run()}});
   }
 
   static void SendState(NodeRef entry, const JobName& job, AttachedJobState state,
@@ -589,8 +603,15 @@
     out.messages.push_back({entry, AttachedJobResult{job, state, ErrorKind::kInternal, {}}});
   }
 
-  void Reply(const SharedJob& shared, const Waiter& waiter, JobAnswered answer,
+  /// Every answer to a request for a job passes here.
+  void Reply(const SharedJob& shared, const Waiter& waiter, const JobAnswered& decided,
              DispatchOutputs& out) {
+    JobAnswered answer = shared.runs.Truthful(decided);
+    if (answer.end != decided.end) {
+      ++m_counters.refusals_of_run_jobs;
+      m_log.Record(DecisionClass::kAnomaly, "refusal_withheld", shared.job.id,
+                   {{"queue", shared.queue.name}, {"reason", ErrorAnswerOf(decided.reason).name}});
+    }
     if (waiter.request) {
       answer.request = *waiter.request;
       m_replies.push_back(answer);
@@ -615,6 +636,11 @@
     DropClaim(shared, out);
   }
 
+  /// Called before the dispatcher may forget the job.
+  void NoteRuns(SharedJob& shared) const {
+    if (m_dispatcher.MayHaveRun(shared.claim.job)) shared.runs.OnRun();
+  }
+
   /// Handles a request that is no longer waiting for its job.
   void RemoveWaiter(RequestId id, Now now, DispatchOutputs& out) {
     const auto found = m_waiter_jobs.find(id);
@@ -622,6 +648,7 @@
     SharedJob& shared = m_jobs.at(found->second);
     ForgetWaiter(shared, id);
     if (shared.phase == JobPhase::kRunning) {
+      NoteRuns(shared);
       m_dispatcher.OnCallerDisconnected(id, now, out);
       m_unfinished.insert(shared.claim.job);
     } else if (shared.phase == JobPhase::kClaiming && shared.waiters.empty()) {
@@ -640,7 +667,8 @@
   /// run that this entry placed before its claim lapsed may be left, the claim is kept until then.
   void DropClaim(SharedJob& shared, DispatchOutputs& out) {
     if (shared.holder) {
-      out.messages.push_back({*shared.holder, AttachToJob{shared.claim, milliseconds(0), true}});
+      out.messages.push_back(
+          {*shared.holder, AttachToJob{shared.claim, milliseconds(0), true, false}});
     }
     shared.phase = JobPhase::kEnding;
     m_unfinished.insert(shared.claim.job);
@@ -683,7 +711,8 @@
     }
     ReplyToAll(shared, AnswerWith(shared.outcome), out);
     ClaimOutputs claims;
-    m_claims.Release(name, shared.outcome, now, claims);
+    const bool may_have_run = shared.outcome == JobOutcome::kNone && shared.runs.may_have_run();
+    m_claims.Release(name, shared.outcome, may_have_run, now, claims);
     m_job_bytes -= shared.bytes;
     m_jobs.erase(name);
     Apply(claims, now, out);
--- a/src/dispatch/shared_jobs.h
+++ b/src/dispatch/shared_jobs.h
@@ -21,6 +21,8 @@
   std::uint64_t claims_lapsed = 0;
   /// Jobs refused because no majority of the witnesses answered in time.
   std::uint64_t undecided = 0;
+  /// Requests not answered as refused because the job may have run.
+  std::uint64_t refusals_of_run_jobs = 0;
   /// Jobs refused because the jobs in progress take the memory for them.
   std::uint64_t refused_for_memory = 0;
 };
--- a/src/dispatch/tests/job_claims_test.cpp
+++ b/src/dispatch/tests/job_claims_test.cpp
@@ -70,7 +70,7 @@
 
   void Answer(NodeId sidecar, ClaimStatus status, milliseconds time,
               milliseconds held_for = milliseconds(0)) {
-    ClaimAnswer answer{kClaim.job, status, kOther, false, held_for, JobOutcome::kNone};
+    ClaimAnswer answer{kClaim.job, status, kOther, false, held_for, JobOutcome::kNone, false};
     claims.OnAnswers(Sidecar(sidecar), {At(time).steady, {answer}}, At(time), out);
   }
 
@@ -171,6 +171,53 @@
   }
 }
 
+// Guards against an entry that takes a job for one that has not run, because the claim under which
+// it ran was not released, or was released without an outcome.
+BOOST_AUTO_TEST_CASE(a_witness_tells_that_a_job_may_have_run_under_an_earlier_claim) {
+  const auto answer_after = [](const auto& act, milliseconds time) {
+    ClaimWitness witness = WitnessThatKnowsAllClaims();
+    witness.OnClaims(kEntry, {{}, {kClaim}}, At(milliseconds(0)));
+    act(witness);
+    TickUntil(witness, milliseconds(0), time);
+    return witness.OnClaims(kOther, {{}, {kClaim}}, At(time)).answers.front();
+  };
+  const auto release = [](bool may_have_run) {
+    return [may_have_run](ClaimWitness& witness) {
+      witness.OnRelease(kEntry, {kClaim.job, JobOutcome::kNone, may_have_run}, At({}));
+    };
+  };
+  const auto lapse = [](ClaimWitness& /*witness*/) {};
+  for (const milliseconds time : {kClaimLease, kClaimLease + milliseconds(9'000)}) {
+    BOOST_TEST((answer_after(lapse, time).status == ClaimStatus::kGranted));
+    BOOST_TEST(answer_after(lapse, time).may_have_run);
+  }
+  BOOST_TEST(!answer_after(lapse, milliseconds(13'000)).may_have_run);
+  BOOST_TEST(answer_after(release(true), milliseconds(20)).may_have_run);
+  BOOST_TEST(!answer_after(release(false), milliseconds(20)).may_have_run);
+  BOOST_TEST((answer_after(release(false), milliseconds(20)).status == ClaimStatus::kGranted));
+}
+
+// Guards against lapsed claims of a flood that take memory without bound, and against a job that is
+// said not to have run because it was left out.
+BOOST_AUTO_TEST_CASE(a_witness_that_cannot_remember_all_runs_says_so) {
+  ClaimWitness witness = WitnessThatKnowsAllClaims();
+  const auto release = [&witness](int index) {
+    const JobName job{"show.example/q/", std::to_string(index)};
+    witness.OnRelease(kEntry, {job, JobOutcome::kNone, true}, At(milliseconds(0)));
+  };
+  const auto may_have_run = [&witness](milliseconds time) {
+    TickUntil(witness, milliseconds(0), time);
+    return witness.OnClaims(kOther, {{}, {kClaim}}, At(time)).answers.front().may_have_run;
+  };
+  for (int i = 0; i < 16'384; ++i) release(i);
+  BOOST_TEST(!may_have_run(milliseconds(20)));
+  release(16'384);
+  BOOST_TEST(witness.former_runs() == 16'384U);
+  BOOST_TEST(may_have_run(milliseconds(40)));
+  BOOST_TEST(!may_have_run(milliseconds(13'000)));
+  BOOST_TEST(witness.former_runs() == 0U);
+}
+
 // Guards against memory that grows with a flood of unknown jobs, and against what it leaves.
 BOOST_AUTO_TEST_CASE(the_memory_of_a_witness_is_bounded) {
   ClaimWitness witness = WitnessThatKnowsAllClaims();
@@ -272,7 +319,8 @@
     claims.RenewAt(restarted, At(milliseconds(time_ms)), out);
     BOOST_TEST(out.messages.size() == 1U);
   }
-  const ClaimAnswer answer{kClaim.job, ClaimStatus::kGranted, {}, false, {}, JobOutcome::kNone};
+  const ClaimAnswer answer{kClaim.job, ClaimStatus::kGranted, {},   false,
+                           {},         JobOutcome::kNone,     false};
   claims.OnAnswers(restarted, {At(milliseconds(130)).steady, {answer}}, At(milliseconds(130)), out);
   out = {};
   claims.RenewAt(restarted, At(milliseconds(140)), out);
--- a/src/dispatch/tests/shared_jobs_test.cpp
+++ b/src/dispatch/tests/shared_jobs_test.cpp
@@ -45,12 +45,17 @@
   }
 
   void SetRunTime(milliseconds time) { m_run_time = time; }
+  /// The endpoints have no room for further tasks.
+  void SetFull(bool full) { m_is_full = full; }
 
   struct Request {
     std::uint32_t entry = 0;
     std::string job;
     std::optional<JobEnd> end;
     bool is_lost = false;
+    /// A task of the job had been started when the answer was given.
+    bool had_started = false;
+    ErrorKind reason = ErrorKind::kInternal;
   };
 
   RequestId Submit(std::uint32_t entry, const std::string& id,
@@ -60,7 +65,8 @@
     QueuePlan queue = m_queue;
     queue.host = host;
     queue.service = service;
-    m_requests[request] = {entry, id, std::nullopt, !m_entries[entry].jobs};
+    m_requests[request] = {
+        entry, id, std::nullopt, !m_entries[entry].jobs, false, ErrorKind::kInternal};
     DispatchJob job;
     job.id = id;
     JobStep step;
@@ -183,6 +189,7 @@
     const auto found = m_starts.find(job);
     return found == m_starts.end() ? 0 : found->second;
   }
+  const std::map<std::string, std::uint32_t>& starts() const { return m_starts; }
   std::uint64_t claim_messages() const { return m_claim_messages; }
   std::uint32_t Draw(std::uint32_t count) {
     return static_cast<std::uint32_t>(m_random.Below(count));
@@ -253,9 +260,16 @@
     handle(entry, out);
     entry.jobs->TranslateAnswers(CurrentTime(), out);
     for (SendMessage& message : out.messages) Send(entry.ref, message.to, message.message);
-    for (const JobAnswered& answer : out.answers) m_requests.at(answer.request).end = answer.end;
+    for (const JobAnswered& answer : out.answers) {
+      Request& request = m_requests.at(answer.request);
+      request.end = answer.end;
+      request.reason = answer.reason;
+      request.had_started = StartsOf(request.job) > 0;
+    }
   }
 
+  Resources FreeCapacity() const { return m_is_full ? Resources{} : Resources{64'000, 100'000, 0}; }
+
   milliseconds Delay() { return milliseconds(1 + m_random.Below(2)); }
 
   void Send(NodeRef from, NodeRef to, const Message& message) {
@@ -383,7 +397,7 @@
   /// All ends are sent again each time; entries ignore those that they know.
   void SendEnds(Sidecar& sidecar, NodeRef entry) {
     TaskReports reports;
-    reports.load.free = {64'000, 100'000, 0};
+    reports.load.free = FreeCapacity();
     reports.load.orders_seen = sidecar.orders_seen[entry];
     reports.reports = sidecar.ends[entry];
     Send(sidecar.ref, entry, reports);
@@ -431,7 +445,7 @@
       report.sidecar_zone = report.zone = "z" + std::to_string(sidecar.ref.id % 3);
       report.worker = std::to_string(sidecar.ref.id);
       report.capacity = {64'000, 100'000, 0};
-      report.load.free = report.capacity;
+      report.load.free = FreeCapacity();
       report.load.orders_seen = sidecar.orders_seen[entry.ref];
       report.accepting = true;
       report.earlier_runs_ended = true;
@@ -463,6 +477,7 @@
   std::vector<std::string> m_overlaps;
   std::uint64_t m_claim_messages = 0;
   milliseconds m_run_time = kRunTime;
+  bool m_is_full = false;
 };
 
 bool IsCompleted(const std::optional<JobEnd>& end) { return end == JobEnd::kCompleted; }
@@ -658,7 +673,7 @@
   jobs.OnEntryReport(kPeer, peer, now);
   jobs.Tick(now, out);
   BOOST_TEST_REQUIRE(jobs.is_settled());
-  const AttachToJob attach{{{"queue", "job"}, "show", false}, milliseconds(1'000), false};
+  const AttachToJob attach{{{"queue", "job"}, "show", false}, milliseconds(1'000), false, false};
   BOOST_TEST(jobs.OnMessage({kPeer, kSelf, attach}, now, out));
   std::size_t releases = 0;
   for (const SendMessage& message : out.messages) {
@@ -739,6 +754,105 @@
   BOOST_TEST((world.EndOf(phone) != JobEnd::kRefused));
 }
 
+// Guards against devices that are all told that a job never runs, although a task of it has run for
+// one of them: its entry was lost or suspended, and the entry that got the claim then found no
+// room.
+BOOST_AUTO_TEST_CASE(no_device_is_refused_a_job_that_has_run_for_another_entry) {
+  struct Variant {
+    bool is_killed = false;
+    /// A device waits for the job at another entry while its holder is lost.
+    bool is_attached = false;
+    /// When the holder is back, from its loss.
+    milliseconds back_after{0};
+  };
+  std::vector<Variant> variants;
+  for (const bool is_killed : {false, true}) {
+    for (const bool is_attached : {false, true}) {
+      for (const int back_ms : {1'000, 2'500, 4'000, 60'000}) {
+        variants.push_back({is_killed, is_attached, milliseconds(back_ms)});
+      }
+    }
+  }
+  for (const Variant& variant : variants) {
+    World world(3, 6, static_cast<std::uint64_t>(variant.back_after.count()));
+    world.RunFor(milliseconds(4'000));
+    world.SetRunTime(milliseconds(3'000));
+    std::vector<RequestId> devices{world.SubmitWithin(milliseconds(8'000), 0, "job")};
+    world.RunFor(milliseconds(100));
+    world.SetFull(true);
+    world.RunFor(milliseconds(200));
+    if (variant.is_attached) devices.push_back(world.SubmitWithin(milliseconds(6'000), 2, "job"));
+    if (variant.is_killed) {
+      world.KillEntry(0);
+    } else {
+      world.Freeze(true, 0, true);
+    }
+    for (milliseconds time{0}; time <= milliseconds(9'000); time += milliseconds(100)) {
+      if (time == milliseconds(2'700)) {
+        devices.push_back(world.SubmitWithin(milliseconds(5'000), 1, "job"));
+      }
+      if (time == variant.back_after && variant.is_killed) world.StartEntry(0);
+      if (time == variant.back_after && !variant.is_killed) world.Freeze(true, 0, false);
+      world.RunFor(milliseconds(100));
+    }
+    BOOST_TEST(world.StartsOf("job") == 2U);
+    for (const RequestId device : devices) {
+      BOOST_TEST((world.EndOf(device) != JobEnd::kRefused),
+                 variant.is_killed << variant.is_attached << " " << variant.back_after.count());
+    }
+    BOOST_TEST(world.EndOf(devices.back()).has_value());
+  }
+}
+
+// Guards against "not run" for a job whose runs were stopped because its device left or ran out of
+// time: another one asks for it afterwards, at the same entry or elsewhere.
+BOOST_AUTO_TEST_CASE(a_job_that_was_stopped_is_not_refused_to_a_later_device) {
+  for (const bool leaves : {true, false}) {
+    for (const std::uint32_t entry : {0U, 1U}) {
+      for (const int after_ms : {0, 5, 100, 3'000}) {
+        World world(2, 6);
+        world.RunFor(milliseconds(4'000));
+        world.SetRunTime(milliseconds(3'000));
+        const RequestId phone = world.SubmitWithin(milliseconds(1'000), 0, "job");
+        world.RunFor(milliseconds(100));
+        world.SetFull(true);
+        world.RunFor(milliseconds(200));
+        if (leaves) world.Leave(phone);
+        if (!leaves) world.RunFor(milliseconds(720));
+        world.RunFor(milliseconds(after_ms));
+        const RequestId laptop = world.SubmitWithin(milliseconds(1'000), entry, "job");
+        world.RunFor(milliseconds(2'000));
+        BOOST_TEST(world.StartsOf("job") == 2U);
+        BOOST_TEST((world.EndOf(laptop) == JobEnd::kGivenUp), leaves << entry << " " << after_ms);
+      }
+    }
+  }
+}
+
+// Guards against a job that has surely not run, but whose devices are not refused as soon as that
+// is known, or not told that it never runs: at the entry that has the claim, at others, and later.
+BOOST_AUTO_TEST_CASE(a_job_that_has_not_run_is_refused_to_all_of_its_devices) {
+  for (const int gap_ms : {0, 1, 100}) {
+    World world(3, 6, 1 + static_cast<std::uint64_t>(gap_ms));
+    world.RunFor(milliseconds(4'000));
+    world.SetFull(true);
+    world.RunFor(milliseconds(200));
+    std::vector<RequestId> devices;
+    for (std::uint32_t entry = 0; entry < 3; ++entry) {
+      devices.push_back(world.SubmitWithin(milliseconds(1'000), entry, "job"));
+      world.RunFor(milliseconds(gap_ms));
+    }
+    world.RunFor(milliseconds(1'000) - kRunTime + 3 * kTick);
+    for (const RequestId device : devices) {
+      BOOST_TEST((world.EndOf(device) == JobEnd::kRefused), gap_ms);
+    }
+    const RequestId later = world.SubmitWithin(milliseconds(1'000), 1, "job");
+    world.RunFor(milliseconds(1'000));
+    BOOST_TEST((world.EndOf(later) == JobEnd::kRefused), gap_ms);
+    BOOST_TEST(world.StartsOf("job") == 0U, gap_ms);
+  }
+}
+
 // Guards against a witness that forgets a grant when it is restarted.
 BOOST_AUTO_TEST_CASE(a_restarted_witness_learns_the_grants_before_it_votes) {
   World world(2, 3);
@@ -913,8 +1027,8 @@
   }
 }
 
-// Guards against two runs, or a request without an answer, under any mix of devices and faults.
-// FOXTAILRUDDER_SEED plays one seed.
+// Guards against two runs, a request without an answer, or "not run" for a job that has run, under
+// any mix of devices, load and faults. FOXTAILRUDDER_SEED plays one seed.
 BOOST_AUTO_TEST_CASE(random_devices_and_faults_never_run_a_task_twice) {
   const char* only = std::getenv("FOXTAILRUDDER_SEED");
   const std::uint64_t first = only == nullptr ? 1 : std::strtoull(only, nullptr, 10);
@@ -928,27 +1042,40 @@
       const RequestId request = world.Submit(world.Draw(kEntries), job);
       const std::uint32_t victim = world.Draw(kEntries);
       const std::uint32_t sidecar = world.Draw(kSidecars);
-      const std::uint32_t fault = world.Draw(7);
+      const std::uint32_t fault = world.Draw(8);
       if (fault == 0) world.KillEntry(victim);
       if (fault == 1) world.Freeze(true, victim, true);
       if (fault == 2) world.Freeze(false, sidecar, true);
       if (fault == 3) world.StartSidecar(sidecar);
       if (fault == 4) world.Cut(victim, sidecar, true);
       if (fault == 5) world.Leave(request);
+      if (fault == 7) world.SetFull(true);
       world.RunFor(milliseconds(1 + world.Draw(400)));
-      world.Submit(world.Draw(kEntries), job);
+      world.SubmitWithin(milliseconds(500 + world.Draw(8'500)), world.Draw(kEntries), job);
       world.RunFor(milliseconds(world.Draw(3'000)));
       if (fault == 0) world.StartEntry(victim);
       if (fault == 1) world.Freeze(true, victim, false);
       if (fault == 2) world.Freeze(false, sidecar, false);
       if (fault == 4) world.Cut(victim, sidecar, false);
+      if (round % 3 == 2) world.SetFull(false);
     }
+    world.SetFull(false);
     world.RunFor(milliseconds(12'000));
     for (const std::string& overlap : world.overlaps())
       BOOST_ERROR("seed " << seed << ": " << overlap);
+    std::set<std::string> not_refused;
     for (const auto& [id, request] : world.requests()) {
       if (!request.is_lost && !request.end)
         BOOST_ERROR("seed " << seed << ": no answer for " << request.job);
+      not_refused.insert(request.end == JobEnd::kRefused ? "" : request.job);
+      // Without a decision on the claim an entry cannot know of the runs of others.
+      const bool is_decided = request.reason != ErrorKind::kNotStartedInTime;
+      if (request.end == JobEnd::kRefused && request.had_started && is_decided)
+        BOOST_ERROR("seed " << seed << ": " << request.job << " has run and was refused");
+    }
+    for (const auto& [job, count] : world.starts()) {
+      if (!not_refused.contains(job))
+        BOOST_ERROR("seed " << seed << ": " << job << " has run and all its requests were refused");
     }
   }
 }
--- a/src/model/dispatch_messages.h
+++ b/src/model/dispatch_messages.h
@@ -279,6 +279,8 @@
   /// How long the holder has had the grant.
   std::chrono::milliseconds held_for{0};
   JobOutcome outcome = JobOutcome::kNone;
+  /// A task of the job may have run under an earlier claim that ended without an outcome.
+  bool may_have_run = false;
 
   friend bool operator==(const ClaimAnswer&, const ClaimAnswer&) = default;
 };
@@ -297,6 +299,8 @@
   JobName job;
   /// Remembered for requests for the job that arrive later, unless kNone.
   JobOutcome outcome = JobOutcome::kNone;
+  /// A task of the job may have run under this claim or an earlier one.
+  bool may_have_run = false;
 
   friend bool operator==(const ReleaseClaim&, const ReleaseClaim&) = default;
 };
@@ -308,6 +312,8 @@
   std::chrono::milliseconds time_to_deadline{0};
   /// The callers of the sender no longer wait.
   bool is_detached = false;
+  /// A task of the job may have run under a claim other than the receiver's.
+  bool may_have_run = false;
 
   friend bool operator==(const AttachToJob&, const AttachToJob&) = default;
 };
--- a/src/transport/internal/codec.cpp
+++ b/src/transport/internal/codec.cpp
@@ -480,7 +480,8 @@
     const wire::NodeRef holder = ToWireStruct(answer.holder);
     return wire::CreateClaimAnswer(
         builder, Put(answer.job), ToWireEnum<wire::ClaimStatus>(answer.status), &holder,
-        answer.is_other_job, answer.held_for.count(), ToWireEnum<wire::JobOutcome>(answer.outcome));
+        answer.is_other_job, answer.held_for.count(), ToWireEnum<wire::JobOutcome>(answer.outcome),
+        answer.may_have_run);
   }
 
   fb::Offset<wire::ClaimAnswers> Put(const ClaimAnswers& m) {
@@ -488,12 +489,13 @@
   }
 
   fb::Offset<wire::ReleaseClaim> Put(const ReleaseClaim& m) {
-    return wire::CreateReleaseClaim(builder, Put(m.job), ToWireEnum<wire::JobOutcome>(m.outcome));
+    return wire::CreateReleaseClaim(builder, Put(m.job), ToWireEnum<wire::JobOutcome>(m.outcome),
+                                    m.may_have_run);
   }
 
   fb::Offset<wire::AttachToJob> Put(const AttachToJob& m) {
-    return wire::CreateAttachToJob(builder, Put(m.claim), m.time_to_deadline.count(),
-                                   m.is_detached);
+    return wire::CreateAttachToJob(builder, Put(m.claim), m.time_to_deadline.count(), m.is_detached,
+                                   m.may_have_run);
   }
 
   fb::Offset<wire::AttachedJobResult> Put(const AttachedJobResult& m) {
@@ -1114,6 +1116,7 @@
     out.is_other_job = in.other_job();
     GetDuration(in.held_for(), out.held_for, "held_for");
     GetEnum(in.outcome(), out.outcome, "outcome");
+    out.may_have_run = in.may_have_run();
   }
 
   void Get(const wire::ClaimAnswers& in, ClaimAnswers& out) {
@@ -1124,12 +1127,14 @@
   void Get(const wire::ReleaseClaim& in, ReleaseClaim& out) {
     Get(*in.job(), out.job);
     GetEnum(in.outcome(), out.outcome, "outcome");
+    out.may_have_run = in.may_have_run();
   }
 
   void Get(const wire::AttachToJob& in, AttachToJob& out) {
     Get(*in.claim(), out.claim);
     GetDuration(in.time_to_deadline(), out.time_to_deadline, "time_to_deadline");
     out.is_detached = in.detached();
+    out.may_have_run = in.may_have_run();
   }
 
   void Get(const wire::AttachedJobResult& in, AttachedJobResult& out) {
--- a/src/transport/tests/codec_test.cpp
+++ b/src/transport/tests/codec_test.cpp
@@ -151,11 +151,12 @@
                   ClaimantKnowledge::kAllStarted},
       ClaimJobs{Steady(1),
                 {{{"queue", "id"}, "service", true}, {{"other", "id"}, "service", false}}},
-      ClaimAnswers{Steady(1),
-                   {{{"queue", "id"}, ClaimStatus::kHeld, {2, 3}, true, Ms(4), JobOutcome::kNone},
-                    {{"queue", "id"}, ClaimStatus::kEnded, {}, false, Ms(0), JobOutcome::kFailed}}},
-      ReleaseClaim{{"queue", "id"}, JobOutcome::kCompleted},
-      AttachToJob{{{"queue", "id"}, "service", true}, Ms(1'500), true},
+      ClaimAnswers{
+          Steady(1),
+          {{{"queue", "id"}, ClaimStatus::kHeld, {2, 3}, true, Ms(4), JobOutcome::kNone, true},
+           {{"queue", "id"}, ClaimStatus::kEnded, {}, false, Ms(0), JobOutcome::kFailed, false}}},
+      ReleaseClaim{{"queue", "id"}, JobOutcome::kCompleted, true},
+      AttachToJob{{{"queue", "id"}, "service", true}, Ms(1'500), true, true},
       AttachedJobResult{
           {"queue", "id"}, AttachedJobState::kRefused, ErrorKind::kNoCapacity, Ms(1'000)},
       AgreedState{
