Wait less for claims after a loss of all processes

Change: the wait rests on the platform's restart delay of 0.5 s: the earlier processes were lost that long before, so that 0.52 s suffice.

--- a/src/dispatch/timing.h
+++ b/src/dispatch/timing.h
@@ -52,11 +52,15 @@
 /// with others: a connection attempt that fails, the pause after it, and a round of reports.
 inline constexpr std::chrono::milliseconds kContactTime{300};
 
+/// The platform starts a process that was lost again after this time at the earliest.
+inline constexpr std::chrono::milliseconds kRestartDelay{500};
+
 /// After the start of an entry that hears no process which is older than it: by then the runs of
-/// earlier incarnations have ended. Their sidecars were lost before it would have heard them, and
-/// the leases of the runs have expired.
+/// earlier incarnations have ended. Their sidecars were lost with the entry's own earlier
+/// incarnation, or it would have heard them, and the leases of the runs have expired.
 inline constexpr std::chrono::milliseconds kRunsEndedAfterTotalLoss =
-    kContactTime + kMaxRunLease + kLeaseMargin;
+    kMaxRunLease + kLeaseMargin - kRestartDelay;
+static_assert(kRunsEndedAfterTotalLoss >= kContactTime);
 
 /// Period in which an entry renews its claims to jobs. Most jobs end before the first renewal.
 inline constexpr std::chrono::milliseconds kClaimRenewalPeriod{400};
