Test that a job that cannot wait for its claim is refused at once

After a loss of all processes an entry knows when claims are granted again. The test fails without the comparison in SharedJobs::EndLateClaim: the job then waits until its last useful start.

--- a/src/dispatch/tests/shared_jobs_test.cpp
+++ b/src/dispatch/tests/shared_jobs_test.cpp
@@ -1014,6 +1014,25 @@
   }
 }
 
+// Guards against a job that is kept waiting although it cannot be done after the claims are granted
+// again.
+BOOST_AUTO_TEST_CASE(a_job_that_cannot_wait_for_its_claim_is_refused_at_once) {
+  World world(1, 3);
+  world.KillEntry(0);
+  for (std::uint32_t i = 0; i < 3; ++i) world.KillSidecar(i);
+  world.RunFor(kRestartDelay);
+  world.StartEntry(0);
+  for (std::uint32_t i = 0; i < 3; ++i) world.StartSidecar(i);
+  world.RunFor(2 * kTick);
+  const RequestId urgent = world.SubmitWithin(kRunsEndedAfterTotalLoss, 0, "urgent");
+  const RequestId patient = world.SubmitWithin(milliseconds(2'000), 0, "patient");
+  world.RunFor(2 * kTick);
+  BOOST_TEST((world.EndOf(urgent) == JobEnd::kRefused));
+  BOOST_TEST(!world.EndOf(patient));
+  world.RunFor(milliseconds(2'000));
+  BOOST_TEST(IsCompleted(world.EndOf(patient)));
+}
+
 // Guards against the same where processes are started again faster than the platform does.
 BOOST_AUTO_TEST_CASE(after_a_loss_of_all_processes_with_fast_restarts_no_task_runs_twice) {
   for (const milliseconds back : {milliseconds(0), milliseconds(200)}) {
