Test what tells an entry that a job may have run

No test failed without the flag in AttachToJob and without the transitions of RunKnowledge, because the witnesses usually tell the same.

--- a/src/dispatch/tests/shared_jobs_test.cpp
+++ b/src/dispatch/tests/shared_jobs_test.cpp
@@ -804,6 +804,28 @@
   }
 }
 
+// Guards against the same where the witnesses have forgotten the lapsed claim: the former holder,
+// which attaches its device to the job, tells that it has run.
+BOOST_AUTO_TEST_CASE(a_former_holder_tells_that_the_job_has_run) {
+  World world(3, 6);
+  world.RunFor(milliseconds(4'000));
+  world.SetRunTime(milliseconds(3'000));
+  const RequestId phone = world.SubmitWithin(milliseconds(12'000), 0, "job");
+  world.RunFor(milliseconds(100));
+  world.SetFull(true);
+  world.RunFor(milliseconds(200));
+  world.Freeze(true, 0, true);
+  world.RunFor(milliseconds(2'500));
+  for (std::uint32_t i = 0; i < 6; ++i) world.StartSidecar(i);
+  const RequestId laptop = world.SubmitWithin(milliseconds(9'000), 1, "job");
+  world.RunFor(kForgottenClaimLease + milliseconds(1'000));
+  world.Freeze(true, 0, false);
+  world.RunFor(milliseconds(6'000));
+  BOOST_TEST(world.StartsOf("job") == 2U);
+  BOOST_TEST((world.EndOf(phone) == JobEnd::kGivenUp));
+  BOOST_TEST((world.EndOf(laptop) == JobEnd::kGivenUp));
+}
+
 // Guards against "not run" for a job whose runs were stopped because its device left or ran out of
 // time: another one asks for it afterwards, at the same entry or elsewhere.
 BOOST_AUTO_TEST_CASE(a_job_that_was_stopped_is_not_refused_to_a_later_device) {
